--- /dev/null
+++ b/src/execution/issue_token.ts
@@ -0,0 +1,11 @@
+import { randomBytes } from "node:crypto";
+import type { Ledger } from "./ledger.ts";
+import { mac } from "./mac.ts";
+
+/** Issues an execution token that only this process will run, at most once. */
+export function issueToken(ledger: Ledger, now: number): string {
+  const nonce = randomBytes(8).toString("hex");
+  const expiresAt = Math.ceil(now + ledger.lifetimeMs);
+  const fields = `${ledger.address}_${ledger.instance}_${nonce}_${expiresAt}`;
+  return `${fields}_${mac(ledger.key, fields)}`;
+}
--- /dev/null
+++ b/src/outcomes/outcome.ts
@@ -0,0 +1,42 @@
+import { z } from "zod";
+
+/** Why a request was certainly not run. */
+const NotRunReason = z.enum([
+  "bad-request",
+  "unknown-service",
+  "no-server",
+  "connect-failed",
+  "overload",
+  "deadline",
+  "leaving",
+  "token-expired",
+  "token-revoked",
+  "token-invalid",
+  "token-required",
+  "parent-repeatable",
+  "platform-down",
+  "resend-limit",
+  "cancelled",
+  "too-large",
+  "server-shed",
+]);
+
+/** Why it cannot be known whether a request was run. */
+const UnknownReason = z.enum([
+  "connection-lost",
+  "deadline",
+  "truncated",
+  "mismatched-response",
+  "malformed-response",
+  "old-incarnation",
+  "response-gone",
+  "cancelled",
+]);
+
+/** What became of a request or of one attempt at it. */
+export const Outcome = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("answered"), status: z.number().int() }),
+  z.object({ kind: z.literal("not-run"), reason: NotRunReason }),
+  z.object({ kind: z.literal("unknown"), reason: UnknownReason }),
+]);
+export type Outcome = z.infer<typeof Outcome>;
