Add the data path: ingress, inbound and outbound sides, stand-in backend server

Cause: requests must travel caller, ingress daemon, inbound daemon, backend server and back, with nested calls through the same daemon.

--- a/src/context/header.ts
+++ b/src/context/header.ts
@@ -15,4 +15,6 @@
   reason: "nutmegmoor-reason",
   level: "nutmegmoor-level",
   load: "nutmegmoor-load",
+  overloadedBelow: "nutmegmoor-overloaded-below",
+  tokensWanted: "nutmegmoor-tokens-wanted",
 } as const;
--- a/src/execution/admit_token.ts
+++ b/src/execution/admit_token.ts
@@ -42,6 +42,7 @@
   ledger.executions.set(token.nonce, {
     state: "queued",
     expiresAt: token.expiresAt,
+    waiters: [],
   });
   return { kind: "new", nonce: token.nonce };
 }
--- a/src/execution/claim_token.ts
+++ b/src/execution/claim_token.ts
@@ -22,7 +22,7 @@
   ledger.executions.set(nonce, {
     state: "running",
     expiresAt: execution.expiresAt,
-    waiters: [],
+    waiters: execution.waiters,
   });
   return true;
 }
--- /dev/null
+++ b/src/relay/call_server.ts
@@ -0,0 +1,127 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { Header } from "../context/header.ts";
+import { claimToken } from "../execution/claim_token.ts";
+import type { Outcome } from "../outcomes/outcome.ts";
+import { dispatch } from "./dispatch.ts";
+import { endInboundCall } from "./end_inbound_call.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import type { InboundCall } from "./inbound_call.ts";
+import { inboundFeedback } from "./inbound_feedback.ts";
+import { isDelimited } from "./is_delimited.ts";
+import { recordChunk } from "./record_chunk.ts";
+import type { Relay } from "./relay.ts";
+import { serverHeaders } from "./server_headers.ts";
+
+/** Sends an admitted request to the own backend server. */
+export function callServer(relay: Relay, call: InboundCall): void {
+  const { attempt } = call;
+  call.phase = "running";
+  call.startedAt = relay.clock();
+  if (relay.serverPool === null) {
+    return failCall(relay, call, { kind: "not-run", reason: "no-server" });
+  }
+  call.exchange = dispatch(relay.serverPool, {
+    method: attempt.method,
+    path: attempt.path.slice(attempt.service.length + 1) || "/",
+    headers: serverHeaders(attempt, call.startedAt),
+    body: attempt.body,
+  }, {
+    begin: () => mayBegin(relay, call),
+    start: (status, headers) => startResponse(relay, call, status, headers),
+    data: (chunk) => passChunk(call, chunk),
+    end: () => endResponse(relay, call),
+    fail: ({ sent }) =>
+      failCall(
+        relay,
+        call,
+        sent ? lost(call) : {
+          kind: "not-run",
+          reason: "connect-failed",
+        },
+      ),
+  });
+}
+
+/** Claims the token as late as possible, so that a pause cannot outlive it. */
+function mayBegin(relay: Relay, call: InboundCall): boolean {
+  const now = relay.clock();
+  const expired = now >= call.open.deadlineAt;
+  const claimed = !expired &&
+    (call.nonce === null || claimToken(relay.ledger, call.nonce, now));
+  if (claimed) return true;
+  const reason = expired ? "deadline" : "token-expired";
+  // The dispatcher must return before the slot is used again.
+  queueMicrotask(() => failCall(relay, call, { kind: "not-run", reason }));
+  return false;
+}
+
+function startResponse(
+  relay: Relay,
+  call: InboundCall,
+  status: number,
+  headers: IncomingHttpHeaders,
+): void {
+  const problem = checkResponse(relay, call, status, headers);
+  if (problem !== null) {
+    call.exchange?.cancel();
+    return failCall(relay, call, problem);
+  }
+  call.status = status;
+  const passed = endToEndHeaders(headers);
+  if (call.nonce !== null) {
+    call.recording = {
+      status,
+      headers: passed,
+      chunks: [],
+      size: 0,
+      overflow: false,
+    };
+  }
+  const feedback = inboundFeedback(relay, call.attempt, call.parent);
+  call.reply?.start({ status, headers: passed, feedback });
+}
+
+function checkResponse(
+  relay: Relay,
+  call: InboundCall,
+  status: number,
+  headers: IncomingHttpHeaders,
+): Outcome | null {
+  const { context, method } = call.attempt;
+  const echoed = headers[Header.attempt];
+  const mustEcho = relay.server?.echoes === true;
+  if (echoed !== context.attemptId && (mustEcho || echoed !== undefined)) {
+    return { kind: "unknown", reason: "mismatched-response" };
+  }
+  const shed = relay.server?.sheds === true &&
+    headers[Header.outcome] === "not-run";
+  if (shed) return { kind: "not-run", reason: "server-shed" };
+  if (!isDelimited({ method, status, headers })) {
+    return { kind: "unknown", reason: "malformed-response" };
+  }
+  return null;
+}
+
+function passChunk(call: InboundCall, chunk: Buffer): boolean {
+  if (call.recording !== null) recordChunk(call.recording, chunk);
+  return call.reply?.data(chunk) ?? true;
+}
+
+function endResponse(relay: Relay, call: InboundCall): void {
+  const status = call.status ?? 0;
+  if (endInboundCall(relay, call, { kind: "answered", status })) {
+    call.reply?.end();
+  }
+}
+
+function lost(call: InboundCall): Outcome {
+  const reason = call.status === null ? "connection-lost" : "truncated";
+  return { kind: "unknown", reason };
+}
+
+function failCall(relay: Relay, call: InboundCall, outcome: Outcome): void {
+  const feedback = inboundFeedback(relay, call.attempt, call.parent);
+  if (endInboundCall(relay, call, outcome)) {
+    call.reply?.fail(outcome, feedback);
+  }
+}
--- /dev/null
+++ b/src/relay/end_inbound_call.ts
@@ -0,0 +1,48 @@
+import { finish } from "../admission/finish.ts";
+import { finishExecution } from "../execution/finish_execution.ts";
+import { revokeToken } from "../execution/revoke_token.ts";
+import type { Outcome } from "../outcomes/outcome.ts";
+import type { InboundCall } from "./inbound_call.ts";
+import type { Relay } from "./relay.ts";
+import { startTickets } from "./start_tickets.ts";
+
+/** Releases everything an inbound call holds. Returns false where it had ended. */
+export function endInboundCall(
+  relay: Relay,
+  call: InboundCall,
+  outcome: Outcome,
+): boolean {
+  if (call.phase === "ended") return false;
+  const heldSlot = call.phase === "running";
+  call.phase = "ended";
+  relay.open.delete(call.open);
+  relay.parents.delete(call.attempt.context.attemptId);
+  for (const child of call.parent.children) child.cancel();
+  endExecution(relay, call, outcome);
+  if (heldSlot && relay.admission !== null) {
+    const now = relay.clock();
+    const serviceMs = now - call.startedAt;
+    const { ticket } = call;
+    startTickets(finish(relay.admission, { ticket, serviceMs, outcome }, now));
+  }
+  return true;
+}
+
+function endExecution(relay: Relay, call: InboundCall, outcome: Outcome): void {
+  if (call.nonce === null) return;
+  const { recording } = call;
+  if (outcome.kind === "answered" && recording !== null) {
+    finishExecution(
+      relay.ledger,
+      call.nonce,
+      recording.overflow ? { kind: "unknown", reason: "response-gone" } : {
+        status: recording.status,
+        headers: recording.headers,
+        body: Buffer.concat(recording.chunks),
+      },
+    );
+    return;
+  }
+  revokeToken(relay.ledger, call.nonce);
+  finishExecution(relay.ledger, call.nonce, outcome);
+}
--- /dev/null
+++ b/src/relay/finish_forwarding.ts
@@ -0,0 +1,36 @@
+import { combine } from "../outcomes/combine.ts";
+import type { Outcome } from "../outcomes/outcome.ts";
+import type { Forwarding } from "./forwarding.ts";
+import { noFeedback } from "./no_feedback.ts";
+import type { Relay } from "./relay.ts";
+
+/** Ends a call that gets no complete response. */
+export function finishForwarding(
+  relay: Relay,
+  forwarding: Forwarding,
+  latest: Outcome,
+): void {
+  if (forwarding.ended) return;
+  forwarding.ended = true;
+  relay.open.delete(forwarding.open);
+  if (latest.kind === "not-run" && latest.reason === "overload") {
+    forwarding.call.overloadedBelow();
+  }
+  const outcome = combine(forwarding.known, latest);
+  forwarding.reply.fail(tellable(forwarding, outcome), noFeedback);
+}
+
+function tellable(forwarding: Forwarding, outcome: Outcome): Outcome {
+  // The response of an earlier attempt was discarded for a retry.
+  if (outcome.kind === "answered") {
+    return { kind: "unknown", reason: "response-gone" };
+  }
+  // Only the ledger of the token's own daemon knows that no earlier send of
+  // the caller ran.
+  const byLedger = forwarding.attempts > 0 &&
+    outcome.reason !== "connect-failed";
+  if (outcome.kind === "not-run" && forwarding.call.callerToken && !byLedger) {
+    return { kind: "unknown", reason: "connection-lost" };
+  }
+  return outcome;
+}
--- /dev/null
+++ b/src/relay/forwarding.ts
@@ -0,0 +1,21 @@
+import type { Outcome } from "../outcomes/outcome.ts";
+import type { Call } from "./call.ts";
+import type { Exchange } from "./exchange.ts";
+import type { Open } from "./open.ts";
+import type { Reply } from "./reply.ts";
+
+/** A call that is being forwarded. */
+export type Forwarding = {
+  call: Call;
+  reply: Reply;
+  open: Open;
+  exchange: Exchange | null;
+  attempts: number;
+  /** What is known from the attempts so far. */
+  known: Outcome | null;
+  /** Daemons that an attempt has failed at. */
+  tried: Set<string>;
+  ended: boolean;
+  /** Starts the next attempt. */
+  next: () => void;
+};
--- /dev/null
+++ b/src/relay/http_reply.ts
@@ -0,0 +1,72 @@
+import type { ServerResponse } from "node:http";
+import { Header } from "../context/header.ts";
+import { status as statusOf } from "../outcomes/status.ts";
+import type { Exchange } from "./exchange.ts";
+import type { Feedback } from "./feedback.ts";
+import { feedbackHeaders } from "./feedback_headers.ts";
+import type { Reply } from "./reply.ts";
+
+/** How a reply is written to HTTP. */
+type Options = {
+  /** Attempt id to echo. */
+  attemptId: string;
+  /** Whether the reader is another daemon, which gets feedback. */
+  feedback: boolean;
+  /** Called once when nothing more will be written. */
+  done?: () => void;
+};
+
+/** Returns a reply that writes to an HTTP response. */
+export function httpReply(
+  response: ServerResponse,
+  options: Options,
+): Reply & { attach(exchange: Exchange): void } {
+  let exchange: Exchange | null = null;
+  let finished = false;
+  const finish = () => {
+    finished = true;
+    options.done?.();
+  };
+  const addFeedback = (
+    headers: Record<string, string | string[]>,
+    feedback: Feedback,
+  ) => {
+    headers[Header.attempt] = options.attemptId;
+    if (options.feedback) feedbackHeaders(headers, feedback);
+  };
+  return {
+    attach(attached) {
+      exchange = attached;
+      response.on("drain", () => exchange?.resume());
+      response.on("close", () => {
+        if (!finished) exchange?.cancel();
+      });
+    },
+    start({ status, headers, feedback }) {
+      const all = { ...headers, [Header.outcome]: "answered" };
+      addFeedback(all, feedback);
+      response.writeHead(status, all);
+    },
+    data: (chunk) => response.write(chunk),
+    end() {
+      finish();
+      response.end();
+    },
+    fail(outcome, feedback) {
+      finish();
+      if (response.headersSent) {
+        // A response that was cut short must not look complete.
+        response.destroy();
+        return;
+      }
+      const headers: Record<string, string | string[]> = {
+        [Header.outcome]: outcome.kind,
+        "content-length": "0",
+      };
+      if (outcome.kind !== "answered") headers[Header.reason] = outcome.reason;
+      addFeedback(headers, feedback);
+      response.writeHead(statusOf(outcome), headers);
+      response.end();
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/inbound_feedback.ts
@@ -0,0 +1,32 @@
+import { load } from "../admission/load.ts";
+import { issueToken } from "../execution/issue_token.ts";
+import { closeAccount } from "../retries/close_account.ts";
+import type { Attempt } from "./attempt.ts";
+import type { Feedback } from "./feedback.ts";
+import type { Parent } from "./parent.ts";
+import type { Relay } from "./relay.ts";
+
+const MAX_TOKENS = 4;
+
+/** Builds the feedback for a response; the parent's account is closed by it. */
+export function inboundFeedback(
+  relay: Relay,
+  attempt: Attempt,
+  parent: Parent | null,
+): Feedback {
+  const now = relay.clock();
+  const tokens: string[] = [];
+  const wanted = Math.min(MAX_TOKENS, attempt.tokensWanted);
+  for (let count = 0; count < wanted && !relay.isLeaving(); count++) {
+    tokens.push(issueToken(relay.ledger, now));
+  }
+  return {
+    unspent: parent === null
+      ? attempt.context.retries
+      : closeAccount(parent.account),
+    level: relay.admission?.level ?? null,
+    load: relay.admission === null ? null : load(relay.admission),
+    tokens,
+    overloadedBelow: parent?.overloadedBelow ?? false,
+  };
+}
--- /dev/null
+++ b/src/relay/relay.ts
@@ -0,0 +1,48 @@
+import type { Pool } from "undici";
+import type { Admission } from "../admission/admission.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import type { Ledger } from "../execution/ledger.ts";
+import type { Announcement } from "../membership/announcement.ts";
+import type { Candidate } from "../routing/candidate.ts";
+import type { Routing } from "../routing/routing.ts";
+import type { ServiceRule } from "../rules/service_rule.ts";
+import type { Shedding } from "../shedding/shedding.ts";
+import type { Open } from "./open.ts";
+import type { Parent } from "./parent.ts";
+
+/** State of the data path of one daemon, and what it needs from others. */
+export type Relay = {
+  /** Address of the own peer listener. */
+  address: string;
+  clock: () => number;
+  random: Random;
+  log: Logger;
+  routing: Routing;
+  shedding: Shedding;
+  ledger: Ledger;
+  /** The own backend server, or null while none announces itself. */
+  server: Announcement | null;
+  admission: Admission | null;
+  /** Connections to the own backend server. */
+  serverPool: Pool | null;
+  /** Connections to other daemons, by address. */
+  peerPools: Map<string, Pool>;
+  /** Execution tokens issued in advance by other daemons, by address. */
+  tokens: Map<string, { token: string; until: number }[]>;
+  /** Inbound requests in progress, by attempt id. */
+  parents: Map<string, Parent>;
+  /** Everything that has a deadline. */
+  open: Set<Open>;
+  /** Number of the latest id given by `nextId`. */
+  lastId: number;
+  isLeaving: () => boolean;
+  candidates: (service: string) => readonly Candidate[];
+  serviceRule: (service: string) => ServiceRule | undefined;
+  limits: {
+    /** Largest request body, in bytes. */
+    requestBody: number;
+    /** Connections to one other daemon. */
+    connectionsPerPeer: number;
+  };
+};
--- /dev/null
+++ b/src/relay/remote.ts
@@ -0,0 +1,97 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { formatContext } from "../context/format_context.ts";
+import { Header } from "../context/header.ts";
+import { Outcome } from "../outcomes/outcome.ts";
+import type { Attempt } from "./attempt.ts";
+import { dispatch } from "./dispatch.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import type { Exchange } from "./exchange.ts";
+import type { Feedback } from "./feedback.ts";
+import { noFeedback } from "./no_feedback.ts";
+import { parseFeedback } from "./parse_feedback.ts";
+import { peerPool } from "./peer_pool.ts";
+import type { Relay } from "./relay.ts";
+import type { Reply } from "./reply.ts";
+
+/** What the response headers of another daemon say. */
+type Verdict =
+  | { kind: "answered"; feedback: Feedback }
+  | { kind: "failed"; outcome: Outcome; feedback: Feedback };
+
+/** Sends an attempt to another daemon. */
+export function sendRemote(
+  relay: Relay,
+  { attempt, address }: { attempt: Attempt; address: string },
+  reply: Reply,
+): Exchange {
+  let failed = false;
+  let started = false;
+  const exchange = dispatch(peerPool(relay, address), {
+    method: attempt.method,
+    path: attempt.path,
+    headers: remoteHeaders(relay, attempt),
+    body: attempt.body,
+  }, {
+    begin: () => true,
+    start(status, headers) {
+      const verdict = judge(attempt, headers);
+      if (verdict.kind === "answered") {
+        started = true;
+        const passed = endToEndHeaders(headers);
+        return reply.start({
+          status,
+          headers: passed,
+          feedback: verdict.feedback,
+        });
+      }
+      failed = true;
+      reply.fail(verdict.outcome, verdict.feedback);
+    },
+    data: (chunk) => failed || reply.data(chunk),
+    end() {
+      if (!failed) reply.end();
+    },
+    fail({ sent }) {
+      if (!failed) reply.fail(lost(sent, started), noFeedback);
+    },
+  });
+  return exchange;
+}
+
+function remoteHeaders(
+  relay: Relay,
+  attempt: Attempt,
+): Record<string, string | string[]> {
+  const headers: Record<string, string | string[]> = {
+    ...attempt.headers,
+    ...formatContext(attempt.context, relay.clock()),
+  };
+  if (attempt.tokensWanted > 0) {
+    headers[Header.tokensWanted] = String(attempt.tokensWanted);
+  }
+  return headers;
+}
+
+function judge(attempt: Attempt, headers: IncomingHttpHeaders): Verdict {
+  if (headers[Header.attempt] !== attempt.context.attemptId) {
+    const outcome = { kind: "unknown", reason: "mismatched-response" } as const;
+    return { kind: "failed", outcome, feedback: noFeedback };
+  }
+  const feedback = parseFeedback(headers);
+  const kind = headers[Header.outcome];
+  if (kind === "answered") return { kind: "answered", feedback };
+  const outcome = Outcome.safeParse({ kind, reason: headers[Header.reason] });
+  if (outcome.success) {
+    return { kind: "failed", outcome: outcome.data, feedback };
+  }
+  return {
+    kind: "failed",
+    outcome: { kind: "unknown", reason: "malformed-response" },
+    feedback: noFeedback,
+  };
+}
+
+function lost(sent: boolean, started: boolean): Outcome {
+  if (!sent) return { kind: "not-run", reason: "connect-failed" };
+  return { kind: "unknown", reason: started ? "truncated" : "connection-lost" };
+}
--- /dev/null
+++ b/src/relay/root_context.ts
@@ -0,0 +1,56 @@
+import type { IncomingHttpHeaders } from "node:http";
+import type { Context } from "../context/context.ts";
+import { Header } from "../context/header.ts";
+import type { RequestRule } from "../rules/request_rule.ts";
+import { nextId } from "./next_id.ts";
+import type { Relay } from "./relay.ts";
+
+const ID = /^[\w.:-]{1,64}$/;
+const NAME = /^[a-z][a-z0-9-]{0,63}$/;
+const TOKEN = /^[\w.:-]{1,256}$/;
+const NO_DEPARTMENT = "none";
+
+/**
+ * Builds the context of a request that enters the system here. Importance and
+ * retries come from the rules, never from the caller. Malformed values of a
+ * caller return the name of the header.
+ */
+export function rootContext(
+  relay: Relay,
+  headers: IncomingHttpHeaders,
+  rule: RequestRule,
+): { ok: true; value: Context } | { ok: false; header: string } {
+  const requestId = headers[Header.request] ?? nextId(relay);
+  const department = headers[Header.department] ?? NO_DEPARTMENT;
+  const token = headers[Header.token] ?? null;
+  const deadline = headers[Header.deadline] ?? String(rule.deadlineMs);
+  if (!matches(ID, requestId)) return { ok: false, header: Header.request };
+  if (!matches(NAME, department)) {
+    return { ok: false, header: Header.department };
+  }
+  if (token !== null && !matches(TOKEN, token)) {
+    return { ok: false, header: Header.token };
+  }
+  if (!matches(/^\d{1,6}$/, deadline)) {
+    return { ok: false, header: Header.deadline };
+  }
+  return {
+    ok: true,
+    value: {
+      requestId,
+      attemptId: nextId(relay),
+      deadlineAt: relay.clock() + Number(deadline),
+      importance: rule.importance,
+      department,
+      retries: 0,
+      token,
+    },
+  };
+}
+
+function matches(
+  pattern: RegExp,
+  value: string | string[],
+): value is string {
+  return typeof value === "string" && pattern.test(value);
+}
--- /dev/null
+++ b/src/relay/tokens_wanted.ts
@@ -0,0 +1,10 @@
+import type { Relay } from "./relay.ts";
+
+/** Execution tokens of one daemon that are kept in advance. */
+const STOCK = 4;
+
+/** Returns how many execution tokens to ask a daemon for with an attempt. */
+export function tokensWanted(relay: Relay, address: string): number {
+  if (address === relay.address) return 0;
+  return Math.max(0, STOCK - (relay.tokens.get(address)?.length ?? 0));
+}
--- /dev/null
+++ b/standin/run_operation.ts
@@ -0,0 +1,160 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Operation } from "./operation.ts";
+import type { ServerState } from "./server_state.ts";
+
+/** Identifies a caller's request in the counts of runs. */
+const KEY_HEADER = "x-key";
+
+/** Runs one request of the call graph in a slot. */
+export async function runOperation(
+  state: ServerState,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  request.resume();
+  const operation = find(state, request);
+  if (operation === undefined) return respond(request, response, 404, "{}");
+  const { mode } = state.control;
+  if (mode === "shed") {
+    response.setHeader("nutmegmoor-outcome", "not-run");
+    return respond(request, response, 503, "");
+  }
+  const aborted = new AbortController();
+  response.on("close", () => aborted.abort());
+  await takeSlot(state);
+  try {
+    if (aborted.signal.aborted) return;
+    count(state, request, operation);
+    await pause(operation.workMs + state.control.delayMs, aborted.signal);
+    const failed = await callNested(state, request, operation, aborted.signal);
+    if (aborted.signal.aborted || mode === "hang") return;
+    if (failed !== null) return respond(request, response, 502, failed);
+    if (mode === "fail") return respond(request, response, 503, "failed");
+    finish(state, request, response, operation);
+  } finally {
+    releaseSlot(state);
+  }
+}
+
+function find(
+  state: ServerState,
+  request: IncomingMessage,
+): Operation | undefined {
+  const path = request.url!.split("?", 1)[0]!;
+  return state.settings.operations.find((operation) =>
+    operation.method === request.method &&
+    (operation.path.endsWith("*")
+      ? path.startsWith(operation.path.slice(0, -1))
+      : path === operation.path)
+  );
+}
+
+function count(
+  state: ServerState,
+  request: IncomingMessage,
+  operation: Operation,
+): void {
+  state.started += 1;
+  const key = request.headers[KEY_HEADER];
+  if (key === undefined) return;
+  const run = `${operation.path} ${key}`;
+  state.runs.set(run, (state.runs.get(run) ?? 0) + 1);
+}
+
+async function takeSlot(state: ServerState): Promise<void> {
+  const { slots } = state.settings;
+  state.peak = Math.max(state.peak, state.inUse + state.waiting.length + 1);
+  if (state.inUse < slots) {
+    state.inUse += 1;
+    return;
+  }
+  await new Promise<void>((resolve) => state.waiting.push(resolve));
+}
+
+function releaseSlot(state: ServerState): void {
+  const next = state.waiting.shift();
+  if (next === undefined) state.inUse -= 1;
+  else next();
+}
+
+function pause(ms: number, signal: AbortSignal): Promise<void> {
+  if (ms <= 0) return Promise.resolve();
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, ms);
+    signal.addEventListener("abort", () => {
+      clearTimeout(timer);
+      resolve();
+    }, { once: true });
+  });
+}
+
+/** Returns why a nested call failed, or null. */
+async function callNested(
+  state: ServerState,
+  request: IncomingMessage,
+  operation: Operation,
+  signal: AbortSignal,
+): Promise<string | null> {
+  for (const call of operation.calls) {
+    if (signal.aborted) return null;
+    const headers: Record<string, string> = {
+      "nutmegmoor-parent": String(request.headers["nutmegmoor-attempt"] ?? ""),
+    };
+    const key = request.headers[KEY_HEADER];
+    if (typeof key === "string") headers[KEY_HEADER] = key;
+    if (call.step !== undefined) headers["nutmegmoor-step"] = call.step;
+    try {
+      const { method, path } = call;
+      const nested = await state.daemon.request({
+        method: method as "GET",
+        path,
+        headers,
+        signal,
+      });
+      await nested.body.dump();
+      if (nested.statusCode >= 300) return `${path} ${nested.statusCode}`;
+    } catch (error) {
+      return `${call.path} ${(error as Error).message}`;
+    }
+  }
+  return null;
+}
+
+function finish(
+  state: ServerState,
+  request: IncomingMessage,
+  response: ServerResponse,
+  operation: Operation,
+): void {
+  state.completed += 1;
+  const { service, host } = state.settings;
+  const key = request.headers[KEY_HEADER] ?? "";
+  const head = JSON.stringify({ service, server: host, key });
+  const body = head.padEnd(operation.bytes, ".");
+  if (state.control.mode === "truncate") {
+    response.writeHead(200, {
+      "content-length": String(body.length),
+      "nutmegmoor-attempt": String(request.headers["nutmegmoor-attempt"] ?? ""),
+    });
+    response.write(body.slice(0, body.length >> 1));
+    setImmediate(() => response.destroy());
+    return;
+  }
+  respond(request, response, 200, body, state.control.mode === "mismatch");
+}
+
+function respond(
+  request: IncomingMessage,
+  response: ServerResponse,
+  status: number,
+  body: string,
+  mismatch = false,
+): void {
+  if (response.destroyed) return;
+  const attempt = request.headers["nutmegmoor-attempt"];
+  if (attempt !== undefined) {
+    response.setHeader("nutmegmoor-attempt", mismatch ? "another" : attempt);
+  }
+  response.writeHead(status, { "content-length": String(body.length) });
+  response.end(body);
+}
