Read and check the settings file

Cause: a daemon must know all problems of its settings before it opens anything, and ini alone merges sections, overwrites keys and skips lines. Change: parseSettings with ini and a zod schema; every issue has code, section, key, line, finding and expectation, without secret values.

--- /dev/null
+++ b/src/settings/check_names.ts
@@ -0,0 +1,66 @@
+import { knownKeys } from "./known_keys.ts";
+import type { LocatedLine } from "./located_line.ts";
+import type { SettingsIssue } from "./settings_issue.ts";
+import { settingsIssueOf } from "./settings_issue_of.ts";
+
+const SECTIONS = "[daemon], [platform], [department.NAME], [limits] or [log]";
+const UNIT = /-(b|bytes|kb|kib|mb|mib|gb|gib|us|ms|s|sec|seconds|min)$/;
+
+/**
+ * Separates lines with known, single section and key names from the others,
+ * which become issues. `ini` would merge or overwrite repeated names silently.
+ */
+export function checkNames(
+  lines: LocatedLine[],
+): { known: LocatedLine[]; issues: SettingsIssue[] } {
+  const firstLines = new Map<string, number>();
+  const known: LocatedLine[] = [];
+  const issues: SettingsIssue[] = [];
+  for (const line of lines) {
+    const name = JSON.stringify([line.section, line.key]);
+    const earlier = firstLines.get(name);
+    const issue = earlier === undefined
+      ? unknown(line)
+      : repeated(line, earlier);
+    if (issue !== null) issues.push(issue);
+    else if (knownKeys(line.section) !== null) known.push(line);
+    firstLines.set(name, earlier ?? line.line);
+  }
+  return { known, issues };
+}
+
+function repeated(line: LocatedLine, earlier: number): SettingsIssue {
+  return settingsIssueOf({
+    code: line.key === null ? "duplicate_section" : "duplicate_key",
+    path: line.key === null ? [line.section] : [line.section, line.key],
+    line: line.line,
+    found: `it a second time after line ${earlier}`,
+    expected: "it once",
+  });
+}
+
+/** Keys of an unknown section aren't reported: the section already is. */
+function unknown(line: LocatedLine): SettingsIssue | null {
+  const keys = knownKeys(line.section);
+  if (line.key === null) return keys === null ? unknownSection(line) : null;
+  if (keys === null || keys.includes(line.key)) return null;
+  const stem = line.key.replace(UNIT, "");
+  const other = keys.find((key) => key.replace(UNIT, "") === stem);
+  return settingsIssueOf({
+    code: other === undefined ? "unknown_key" : "wrong_unit",
+    path: [line.section, line.key],
+    line: line.line,
+    found: `key ${line.key}`,
+    expected: other ?? `one of ${keys.join(", ")}`,
+  });
+}
+
+function unknownSection(line: LocatedLine): SettingsIssue {
+  return settingsIssueOf({
+    code: "unknown_section",
+    path: [line.section],
+    line: line.line,
+    found: `section [${line.section}]`,
+    expected: SECTIONS,
+  });
+}
--- /dev/null
+++ b/src/settings/file_schema.ts
@@ -0,0 +1,62 @@
+import { z } from "zod";
+import { field } from "./field.ts";
+
+const MAX_CONNECTIONS = 100_000;
+const MAX_MIB = 1_024;
+const MAX_KIB = 1_048_576;
+// Headers of a request are held in memory whole.
+const MAX_HEADER_KIB = 1_024;
+const MAX_FLUSH_MS = 10_000;
+
+const limit = {
+  kib: field.wholeNumber({ unit: "KiB", least: 1, most: MAX_KIB }),
+  headerKib: field.wholeNumber({ unit: "KiB", least: 1, most: MAX_HEADER_KIB }),
+  mib: field.wholeNumber({ unit: "MiB", least: 1, most: MAX_MIB }),
+  requests: field.wholeNumber({
+    unit: "requests",
+    least: 0,
+    most: MAX_CONNECTIONS,
+  }),
+  connections: field.wholeNumber({
+    unit: "connections",
+    least: 1,
+    most: MAX_CONNECTIONS,
+  }),
+  flushMs: field.wholeNumber({
+    unit: "milliseconds",
+    least: 1,
+    most: MAX_FLUSH_MS,
+  }),
+};
+
+/** Sections of a settings file with their keys as they are written. */
+export const fileSchema = {
+  daemon: z.object({
+    address: field.address,
+    "ingress-port": field.port,
+    "peer-port": field.port,
+    "local-port": field.port,
+    "data-centre": field.name,
+    region: field.name,
+    peers: field.peers.prefault(""),
+    "installation-key": field.installationKey,
+  }),
+  platform: z.object({
+    "table-service": field.origin,
+    "object-store": field.origin,
+    "access-key": field.credential,
+    "secret-key": field.credential,
+  }),
+  department: z.object({ "public-key": field.publicKey }),
+  limits: z.object({
+    "request-body-kib": limit.kib.prefault("1024"),
+    "header-kib": limit.headerKib.prefault("16"),
+    queue: limit.requests.prefault("256"),
+    "connections-per-peer": limit.connections.prefault("64"),
+    "cached-responses-mib": limit.mib.prefault("16"),
+  }),
+  log: z.object({
+    namespaces: field.namespaces.prefault(""),
+    "flush-ms": limit.flushMs.prefault("50"),
+  }),
+};
--- /dev/null
+++ b/src/settings/parse_settings.ts
@@ -0,0 +1,100 @@
+import { parse } from "ini";
+import type { z } from "zod";
+import { checkNames } from "./check_names.ts";
+import { checkPorts } from "./check_ports.ts";
+import type { LocatedLine } from "./located_line.ts";
+import { scanLines } from "./scan_lines.ts";
+import { SECRET_KEYS } from "./secret_keys.ts";
+import { Settings } from "./settings.ts";
+import type { SettingsIssue } from "./settings_issue.ts";
+import { settingsIssueOf } from "./settings_issue_of.ts";
+
+type Section = Record<string, unknown>;
+
+const DEPARTMENT = "department.";
+const MAX_SHOWN_CHARACTERS = 80;
+
+/**
+ * Reads a settings file. Checks the whole file and lists every problem in the
+ * order of lines; values of secret keys are never part of an issue.
+ */
+export function parseSettings(
+  text: string,
+):
+  | { ok: true; value: Settings }
+  | { ok: false; issues: SettingsIssue[] } {
+  const scanned = scanLines(text);
+  const named = checkNames(scanned.lines);
+  const lineOf = locator(named.known);
+  const raw = assemble(named.known);
+  const parsed = Settings.safeParse(raw);
+  const issues = [
+    ...scanned.issues,
+    ...named.issues,
+    ...checkPorts(raw.daemon, lineOf),
+    ...(parsed.error?.issues ?? []).map((issue) => explain(issue, raw, lineOf)),
+  ];
+  if (parsed.success && issues.length === 0) {
+    return { ok: true, value: parsed.data };
+  }
+  issues.sort((left, right) => (left.line ?? 0) - (right.line ?? 0));
+  return { ok: false, issues };
+}
+
+/** Known lines only, since `ini` can throw on a key that is also a section. */
+function assemble(known: LocatedLine[]) {
+  const tree = parse(known.map((line) => line.text).join("\n"));
+  const departments: Record<string, Section> = {};
+  for (const { section, key } of known) {
+    if (key !== null || !section.startsWith(DEPARTMENT)) continue;
+    const name = section.slice(DEPARTMENT.length);
+    departments[name] = tree.department[name];
+  }
+  return {
+    daemon: (tree.daemon ?? {}) as Section,
+    platform: (tree.platform ?? null) as Section | null,
+    departments,
+    limits: (tree.limits ?? {}) as Section,
+    log: (tree.log ?? {}) as Section,
+  };
+}
+
+function locator(lines: LocatedLine[]) {
+  const numbers = new Map(
+    lines.map((line) => [`${line.section}\n${line.key}`, line.line]),
+  );
+  return (section: string, key: string): number | null =>
+    numbers.get(`${section}\n${key}`) ?? numbers.get(`${section}\nnull`) ??
+      null;
+}
+
+function explain(
+  issue: z.core.$ZodIssue,
+  raw: ReturnType<typeof assemble>,
+  lineOf: ReturnType<typeof locator>,
+): SettingsIssue {
+  const path = issue.path.map(String);
+  const key = path.at(-1)!;
+  const section = path[0] === "departments" ? DEPARTMENT + path[1] : path[0]!;
+  const sections = raw as Record<string, Section | null>;
+  const value = path[0] === "departments"
+    ? raw.departments[path[1]!]?.[key]
+    : sections[path[0]!]?.[key];
+  const code = issue.code === "custom" ? issue.params?.code : "wrong_type";
+  return settingsIssueOf({
+    code: value === undefined ? "missing_key" : String(code),
+    path: [section, key],
+    line: lineOf(section, key),
+    found: shown(key, value),
+    expected: issue.message,
+  });
+}
+
+function shown(key: string, value: unknown): string {
+  if (value === undefined) return "nothing";
+  const text = String(value);
+  if (SECRET_KEYS.has(key)) return `${text.length} characters`;
+  return text.length > MAX_SHOWN_CHARACTERS
+    ? `${JSON.stringify(text.slice(0, MAX_SHOWN_CHARACTERS))}…`
+    : JSON.stringify(text);
+}
--- /dev/null
+++ b/src/settings/scan_lines.ts
@@ -0,0 +1,66 @@
+import { unsafe } from "ini";
+import type { LocatedLine } from "./located_line.ts";
+import type { SettingsIssue } from "./settings_issue.ts";
+import { settingsIssueOf } from "./settings_issue_of.ts";
+
+const SECTION = /^\[([^\]]*)\]$/;
+const KEY = /^([^=]+)=/;
+
+/**
+ * Finds each section header and key with its line number. Lines that `ini`
+ * would skip or read as something else become issues.
+ */
+export function scanLines(
+  text: string,
+): { lines: LocatedLine[]; issues: SettingsIssue[] } {
+  const lines: LocatedLine[] = [];
+  const issues: SettingsIssue[] = [];
+  let section: string | null = null;
+  text.split(/\r\n|\n|\r/).forEach((whole, index) => {
+    const line = index + 1;
+    const body = whole.trim();
+    if (body === "" || body.startsWith("#") || body.startsWith(";")) return;
+    const header = SECTION.exec(body);
+    if (header !== null) {
+      section = unsafe(header[1]!);
+      lines.push({ line, section, key: null, text: body });
+      return;
+    }
+    const problem = malformed(body, { section, line });
+    if (problem !== null) issues.push(problem);
+    else lines.push({ line, section: section!, key: keyOf(body), text: body });
+  });
+  return { lines, issues };
+}
+
+function keyOf(body: string): string {
+  const match = KEY.exec(body);
+  return match === null ? "" : unsafe(match[1]!);
+}
+
+function malformed(
+  body: string,
+  place: { section: string | null; line: number },
+): SettingsIssue | null {
+  const key = keyOf(body);
+  const path = place.section === null ? [] : [place.section];
+  const issue = (found: string, expected: string) =>
+    settingsIssueOf({
+      code: "malformed_line",
+      path,
+      line: place.line,
+      found,
+      expected,
+    });
+  // The rest of such a line may be a secret, so it isn't quoted.
+  if (body.startsWith("[")) {
+    return issue("an unclosed bracket or text after it", "[SECTION] alone");
+  }
+  if (key === "") return issue("a line without key or =", "KEY = VALUE");
+  if (key.endsWith("[]")) {
+    return issue(`key ${key}`, "a list on one line, separated by commas");
+  }
+  return place.section === null
+    ? issue(`key ${key} before any section`, "a section header first")
+    : null;
+}
