Serve a request end to end through separate processes

Cause: the whole path must run before its parts are deepened. Change: daemon with ingress, peer and local listeners, peers polled from the settings for now; local-address setting, so that several daemons share a machine. Measured by hand: three daemons and three stand-in servers on 127.0.1.1, 127.0.1.2 and 127.0.2.1; a quote with a nested stock check and a reservation through another data centre were each answered 200, an unknown service 404 not-run, and each key ran once. Conclusion: the path stands; membership and rules come from their modules next.

--- /dev/null
+++ b/src/daemon/create_relay.ts
@@ -0,0 +1,40 @@
+import { createLogger } from "../core/create_logger.ts";
+import { createLedger } from "../execution/create_ledger.ts";
+import type { Relay } from "../relay/relay.ts";
+import { createRouting } from "../routing/create_routing.ts";
+import type { Settings } from "../settings/settings.ts";
+import { createShedding } from "../shedding/create_shedding.ts";
+
+const KIB = 1024;
+
+/** What the data path needs from other parts of the daemon. */
+type Parts =
+  & Pick<Relay, "clock" | "random" | "isLeaving">
+  & Pick<Relay, "candidates" | "serviceRule">
+  & { settings: Settings };
+
+/** Creates the data path of a daemon. */
+export function createRelay({ settings, ...parts }: Parts): Relay {
+  const { daemon, limits } = settings;
+  const address = `${daemon.address}:${daemon.peerPort}`;
+  return {
+    ...parts,
+    address,
+    log: createLogger("relay"),
+    routing: createRouting(daemon.dataCentre),
+    shedding: createShedding(),
+    ledger: createLedger(address),
+    server: null,
+    admission: null,
+    serverPool: null,
+    peerPools: new Map(),
+    tokens: new Map(),
+    parents: new Map(),
+    open: new Set(),
+    lastId: 0,
+    limits: {
+      requestBody: limits.requestBodyKib * KIB,
+      connectionsPerPeer: limits.connectionsPerPeer,
+    },
+  };
+}
--- /dev/null
+++ b/src/drain/advance_drain.ts
@@ -0,0 +1,24 @@
+import type { Drain } from "./drain.ts";
+
+/**
+ * Time for which a leaving daemon stays to reject new work, so that daemons
+ * that missed the news learn it from the rejection.
+ */
+const LINGER_MS = 2_000;
+
+/**
+ * Moves on to `drained` once nothing is in flight and the linger time is over.
+ * There is no upper bound: a planned shutdown cuts off no request, and every
+ * request has a deadline of its own.
+ */
+export function advanceDrain(
+  drain: Drain,
+  inFlight: number,
+  now: number,
+): Drain["phase"] {
+  const lingered = now - drain.since >= LINGER_MS;
+  if (drain.phase === "leaving" && lingered && inFlight === 0) {
+    drain.phase = "drained";
+  }
+  return drain.phase;
+}
--- a/src/settings/field.ts
+++ b/src/settings/field.ts
@@ -32,6 +32,11 @@
   return isIP(text) !== 0 && text !== "0.0.0.0" && !/^[0:]+$/.test(text);
 }
 
+/** Nested calls and operators' commands carry no authentication. */
+function isLoopback(text: string): boolean {
+  return text === "::1" || (isIPv4(text) && text.startsWith("127."));
+}
+
 function isEndpoint(text: string): boolean {
   const match = /^(?:\[([^\]]+)\]|([^:[\]]+)):(\d+)$/.exec(text);
   if (match === null || !isPort(match[3]!)) return false;
@@ -75,6 +80,10 @@
     code: "bad_address",
     expected: "an IP address other than the wildcard, such as 127.0.1.1",
   }, isAddress),
+  loopback: checked({
+    code: "bad_address",
+    expected: "a loopback IP address, such as 127.0.0.1",
+  }, isLoopback),
   port: checked({
     code: "bad_port",
     expected: `a port from ${LOWEST_PORT} to ${HIGHEST_PORT}`,
--- a/src/settings/file_schema.ts
+++ b/src/settings/file_schema.ts
@@ -36,6 +36,7 @@
     "ingress-port": field.port,
     "peer-port": field.port,
     "local-port": field.port,
+    "local-address": field.loopback.prefault("127.0.0.1"),
     "data-centre": field.name,
     region: field.name,
     peers: field.peers.prefault(""),
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -8,6 +8,7 @@
     ingressPort: daemon["ingress-port"],
     peerPort: daemon["peer-port"],
     localPort: daemon["local-port"],
+    localAddress: daemon["local-address"],
     dataCentre: daemon["data-centre"],
     region: daemon.region,
     peers: daemon.peers,
