--- a/src/daemon/local_app.ts
+++ b/src/daemon/local_app.ts
@@ -1,4 +1,4 @@
-import { App, type Request } from "@tinyhttp/app";
+import { App } from "@tinyhttp/app";
 import type { RequestListener } from "node:http";
 import { parse } from "../core/parse.ts";
 import type { Drain } from "../drain/drain.ts";
@@ -37,5 +37,6 @@
     leave();
     response.json({ ok: true, phase: drain.phase });
   });
-  return (request, response) => void app.handler(request as Request, response);
+  // tinyhttp adds its own fields to the plain request and response.
+  return app.attach as unknown as RequestListener;
 }
