--- /dev/null
+++ b/fleet/run_load.ts
@@ -0,0 +1,96 @@
+import { Pool } from "undici";
+import type { Random } from "../src/core/random.ts";
+import type { Deployment } from "../deployments/deployment.ts";
+import type { Sample } from "./sample.ts";
+import { sendRequest } from "./send_request.ts";
+
+/** An open-loop load: arrivals do not wait for responses. */
+type Load = {
+  /** Ingress listeners, `host:port`; used in turn. */
+  targets: string[];
+  traffic: Deployment["traffic"];
+  /** Requests a second at a time, in ms from the start. */
+  rate: (at: number) => number;
+  durationMs: number;
+  /** How often a caller sends again after anything but a good response. */
+  resends: number;
+  timeoutMs: number;
+  random: Random;
+  /** Starts the keys of this load's requests. */
+  prefix: string;
+};
+
+const STEP_MS = 5;
+const CONNECTIONS = 2_000;
+
+/** Runs a load and returns a sample for each request. */
+export async function runLoad(load: Load): Promise<Sample[]> {
+  const pools = load.targets.map((target) =>
+    new Pool(`http://${target}`, {
+      connections: Math.ceil(CONNECTIONS / load.targets.length),
+    })
+  );
+  const running: Promise<Sample>[] = [];
+  const start = performance.now();
+  let due = 0;
+  while (performance.now() - start < load.durationMs) {
+    const at = performance.now() - start;
+    due += load.rate(at) * STEP_MS / 1000;
+    while (running.length < due) {
+      const pool = pools[running.length % pools.length]!;
+      running.push(runOne(load, pool, { at, number: running.length }));
+    }
+    const wait = STEP_MS - (performance.now() - start - at);
+    await new Promise((resolve) => setTimeout(resolve, Math.max(0, wait)));
+  }
+  const samples = await Promise.all(running);
+  await Promise.all(pools.map((pool) => pool.destroy()));
+  return samples;
+}
+
+async function runOne(
+  load: Load,
+  pool: Pool,
+  { at, number }: { at: number; number: number },
+): Promise<Sample> {
+  const kind = pick(load);
+  const key = `${load.prefix}-${number}`;
+  const began = performance.now();
+  let sends = 0;
+  let last = { result: "failed", reason: "" } as Pick<
+    Sample,
+    "result" | "reason"
+  >;
+  while (sends <= load.resends) {
+    sends += 1;
+    last = await sendRequest(pool, {
+      method: kind.method,
+      path: kind.path,
+      key,
+      headers: { "nutmegmoor-request": key },
+      timeoutMs: load.timeoutMs,
+    });
+    if (last.result === "good") break;
+    // What may have run must not be sent again without an execution token.
+    const repeatable = kind.method === "GET" || last.result === "not-run";
+    if (!repeatable) break;
+  }
+  return {
+    name: kind.name,
+    importance: kind.importance,
+    key,
+    at,
+    latencyMs: performance.now() - began,
+    sends,
+    ...last,
+  };
+}
+
+function pick({ traffic, random }: Load): Deployment["traffic"][number] {
+  let rest = random();
+  for (const kind of traffic) {
+    rest -= kind.share;
+    if (rest < 0) return kind;
+  }
+  return traffic[traffic.length - 1]!;
+}
--- /dev/null
+++ b/fleet/sample.ts
@@ -0,0 +1,13 @@
+/** What became of one request of the load generator. */
+export type Sample = {
+  name: string;
+  importance: string;
+  key: string;
+  /** When it was due, in ms from the start of the load. */
+  at: number;
+  latencyMs: number;
+  sends: number;
+  result: "good" | "not-run" | "unknown" | "failed" | "wrong";
+  /** Reason given with a result other than `good`. */
+  reason: string;
+};
--- /dev/null
+++ b/fleet/settings_text.ts
@@ -0,0 +1,43 @@
+import type { Deployment } from "../deployments/deployment.ts";
+import { Ports } from "./ports.ts";
+
+/** What goes into the settings file of one daemon. */
+type Values = {
+  deployment: Deployment;
+  host: string;
+  dataCentre: string;
+  peers: string[];
+  publicKey: string;
+  /** Namespaces of `debug`, or empty. */
+  log: string;
+};
+
+/** Address of the platform's stand-ins. */
+const PLATFORM = "127.0.0.1";
+
+/** Returns the settings file of one daemon of a fleet. */
+export function settingsText(values: Values): string {
+  return `[daemon]
+address = ${values.host}
+ingress-port = ${Ports.ingress}
+peer-port = ${Ports.peer}
+local-port = ${Ports.local}
+local-address = ${values.host}
+data-centre = ${values.dataCentre}
+region = ${values.deployment.name}
+peers = ${values.peers.map((peer) => `${peer}:${Ports.peer}`).join(", ")}
+installation-key = an installation key of the test fleet only
+
+[platform]
+table-service = http://${PLATFORM}:${Ports.tableService}
+object-store = http://${PLATFORM}:${Ports.objectStore}
+access-key = fleet
+secret-key = fleet-secret
+
+[department.${values.deployment.department}]
+public-key = ${values.publicKey}
+
+[log]
+namespaces = ${values.log}
+`;
+}
