Measure the latency that two daemon hops add

Change: bench that alternates direct calls, two bare relay hops and two daemon hops in one run, with CPU per request and RSS.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,11 @@
+import process from "node:process";
+
+const BENCHES: Record<string, () => Promise<unknown>> = {
+  latency: () => import("./latency.ts"),
+};
+
+const bench = BENCHES[process.argv[2] ?? ""];
+if (bench === undefined) {
+  console.error(`Usage: npm run bench -- ${Object.keys(BENCHES).join("|")}`);
+  process.exitCode = 2;
+} else await bench();
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
+import createDebug from "debug";
 import yargs from "yargs";
 import manifest from "../../package.json" with { type: "json" };
 import { startDaemon } from "../daemon/start_daemon.ts";
@@ -18,6 +19,9 @@
       async ({ settings: file }) => {
         const settings = parseSettings(readFileSync(file, "utf8"));
         if (!settings.ok) throw new Error(settings.issues[0]!.message);
+        if (settings.value.log.namespaces !== "") {
+          createDebug.enable(settings.value.log.namespaces);
+        }
         const daemon = await startDaemon(settings.value);
         process.on("SIGTERM", () => void daemon.stop());
         await daemon.done;
--- a/src/daemon/start_daemon.ts
+++ b/src/daemon/start_daemon.ts
@@ -5,6 +5,7 @@
 import { advanceDrain } from "../drain/advance_drain.ts";
 import { beginDrain } from "../drain/begin_drain.ts";
 import { createDrain } from "../drain/create_drain.ts";
+import { createLogger } from "../core/create_logger.ts";
 import { tick } from "../admission/tick.ts";
 import { sweepLedger } from "../execution/sweep_ledger.ts";
 import { expireOpen } from "../relay/expire_open.ts";
@@ -63,6 +64,12 @@
       port: daemon.localPort,
     }),
   ]);
+  createLogger("daemon")("listening", {
+    address: daemon.address,
+    ingress: daemon.ingressPort,
+    peer: daemon.peerPort,
+    local: daemon.localPort,
+  });
   const learnPeers = () => pollPeers(relay, daemon.peers, peers);
   learnPeers();
   const timers = [
