--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -1,3 +1,6 @@
+import type { Demand } from "./demand.ts";
+import type { Limiter } from "./limiter.ts";
+import type { Queue } from "./queue.ts";
 import type { Ticket } from "./ticket.ts";
 
 /** State of the admission control in front of one backend server. */
@@ -7,7 +10,11 @@
   /** Current concurrency limit, at most `slots`. */
   limit: number;
   inFlight: number;
-  queue: Ticket[];
+  queue: Queue;
+  /** Evicted from the queue; handed out by the next `finish` or `tick`. */
+  evicted: Ticket[];
   /** Requests below this priority are rejected. */
   level: number;
+  limiter: Limiter;
+  demand: Demand;
 };
--- a/src/admission/create_admission.ts
+++ b/src/admission/create_admission.ts
@@ -1,6 +1,46 @@
+import { COHORTS } from "../context/cohorts.ts";
 import type { Admission } from "./admission.ts";
+import { createQueue } from "./create_queue.ts";
+import type { Demand } from "./demand.ts";
+import type { Limiter } from "./limiter.ts";
+import { RANKS } from "./ranks.ts";
 
 /** Creates admission control for a backend server with so many slots. */
 export function createAdmission(slots: number): Admission {
-  return { slots, limit: slots, inFlight: 0, queue: [], level: 0 };
+  return {
+    slots,
+    limit: slots,
+    inFlight: 0,
+    queue: createQueue(),
+    evicted: [],
+    level: 0,
+    limiter: createLimiter(slots),
+    demand: createDemand(),
+  };
+}
+
+function createLimiter(slots: number): Limiter {
+  return {
+    algorithm: "aimd",
+    exact: slots,
+    serviceMs: 0,
+    baselineMs: 0,
+    answers: 0,
+    sumMs: 0,
+    failures: 0,
+    peak: 0,
+    adjustedAt: -Infinity,
+  };
+}
+
+function createDemand(): Demand {
+  return {
+    counts: new Float64Array(RANKS * COHORTS),
+    rates: new Float64Array(RANKS * COHORTS),
+    modestCount: 0,
+    modestRate: 0,
+    overflow: 0,
+    shares: new Map(),
+    tickedAt: -Infinity,
+  };
 }
--- /dev/null
+++ b/src/admission/demand.ts
@@ -0,0 +1,18 @@
+import type { Share } from "./share.ts";
+
+/** Histogram of recent arrivals, from which the admission level is set. */
+export type Demand = {
+  /** Arrivals since the latest tick, by priority. */
+  counts: Float64Array;
+  /** Arrivals per ms, by priority; below the level as last admitted. */
+  rates: Float64Array;
+  /** Arrivals from modest departments in the class that is being shed. */
+  modestCount: number;
+  /** The same per ms. */
+  modestRate: number;
+  /** Evicted or rejected because the queue was full, since the latest tick. */
+  overflow: number;
+  /** By department. */
+  shares: Map<string, Share>;
+  tickedAt: number;
+};
--- /dev/null
+++ b/src/admission/fill.ts
@@ -0,0 +1,30 @@
+import type { Admission } from "./admission.ts";
+import { dequeue } from "./dequeue.ts";
+import type { Ticket } from "./ticket.ts";
+
+/**
+ * Gives free slots to queued requests. Returns the requests to start, whose
+ * slots are taken already, and the ones to drop: evicted ones, and expired ones
+ * that would have occupied a slot for nothing.
+ */
+export function fill(
+  admission: Admission,
+  now: number,
+): { start: Ticket[]; drop: Ticket[] } {
+  const start: Ticket[] = [];
+  const drop = admission.evicted;
+  if (drop.length > 0) admission.evicted = [];
+  while (admission.inFlight < admission.limit) {
+    const ticket = dequeue(admission.queue);
+    if (ticket === undefined) break;
+    if (now >= ticket.deadlineAt) {
+      drop.push(ticket);
+      continue;
+    }
+    admission.inFlight += 1;
+    start.push(ticket);
+  }
+  const { limiter } = admission;
+  limiter.peak = Math.max(limiter.peak, admission.inFlight);
+  return { start, drop };
+}
--- a/src/admission/finish.ts
+++ b/src/admission/finish.ts
@@ -1,31 +1,43 @@
 import type { Outcome } from "../outcomes/outcome.ts";
 import type { Admission } from "./admission.ts";
+import { fill } from "./fill.ts";
+import type { Limiter } from "./limiter.ts";
 import type { Ticket } from "./ticket.ts";
 
 /** How a request that held a slot ended. */
 type Ending = { ticket: Ticket; serviceMs: number; outcome: Outcome };
 
+/** Weight of the newest answer in the mean service time. */
+const NEWEST = 0.05;
+
 /**
  * Frees the slot of a finished request. Returns the queued requests to start,
- * whose slots are taken already, and the ones to drop.
+ * whose slots are taken already, and the ones to drop, expired or evicted.
  */
 export function finish(
   admission: Admission,
-  _ending: Ending,
+  ending: Ending,
   now: number,
 ): { start: Ticket[]; drop: Ticket[] } {
-  admission.inFlight -= 1;
-  const start: Ticket[] = [];
-  const drop: Ticket[] = [];
-  while (admission.inFlight < admission.limit) {
-    const ticket = admission.queue.shift();
-    if (ticket === undefined) break;
-    if (now >= ticket.deadlineAt) {
-      drop.push(ticket);
-      continue;
-    }
-    admission.inFlight += 1;
-    start.push(ticket);
+  admission.inFlight = Math.max(0, admission.inFlight - 1);
+  if (ending.outcome.kind === "answered") {
+    measure(admission.limiter, ending.serviceMs);
+  } else if (isFailure(ending.outcome)) {
+    admission.limiter.failures += 1;
   }
-  return { start, drop };
+  return fill(admission, now);
+}
+
+function measure(limiter: Limiter, serviceMs: number): void {
+  limiter.answers += 1;
+  limiter.sumMs += serviceMs;
+  limiter.serviceMs = limiter.serviceMs === 0
+    ? serviceMs
+    : limiter.serviceMs + NEWEST * (serviceMs - limiter.serviceMs);
+}
+
+/** A caller that gives up says nothing about the backend server. */
+function isFailure(outcome: Outcome): boolean {
+  if (outcome.kind === "unknown") return outcome.reason !== "cancelled";
+  return outcome.kind === "not-run" && outcome.reason === "server-shed";
 }
--- a/src/admission/offer.ts
+++ b/src/admission/offer.ts
@@ -1,5 +1,13 @@
+import { COHORTS } from "../context/cohorts.ts";
 import type { Admission } from "./admission.ts";
+import { arrive } from "./arrive.ts";
+import { enqueue } from "./enqueue.ts";
+import { levelFor } from "./level_for.ts";
+import { position } from "./position.ts";
+import { rankOf } from "./rank_of.ts";
+import { remove } from "./remove.ts";
 import type { Ticket } from "./ticket.ts";
+import { victim } from "./victim.ts";
 
 /** What admission control did with a request. */
 type Decision =
@@ -8,6 +16,10 @@
   | { kind: "rejected"; reason: "overload" | "deadline" };
 
 const QUEUE_PER_SLOT = 1;
+const RUN: Decision = { kind: "run" };
+const QUEUED: Decision = { kind: "queued" };
+const OVERLOAD: Decision = { kind: "rejected", reason: "overload" };
+const DEADLINE: Decision = { kind: "rejected", reason: "deadline" };
 
 /** Takes a request: runs it, queues it or rejects it. Starts nothing itself. */
 export function offer(
@@ -15,17 +27,35 @@
   ticket: Ticket,
   now: number,
 ): Decision {
-  if (now >= ticket.deadlineAt) return { kind: "rejected", reason: "deadline" };
-  if (ticket.priority < admission.level) {
-    return { kind: "rejected", reason: "overload" };
-  }
-  if (admission.inFlight < admission.limit) {
+  if (now >= ticket.deadlineAt) return DEADLINE;
+  arrive(admission, ticket);
+  if (ticket.priority < levelFor(admission, ticket.department)) return OVERLOAD;
+  const { queue, limiter } = admission;
+  if (queue.size === 0 && admission.inFlight < admission.limit) {
     admission.inFlight += 1;
-    return { kind: "run" };
+    limiter.peak = Math.max(limiter.peak, admission.inFlight);
+    return RUN;
   }
-  if (admission.queue.length >= admission.slots * QUEUE_PER_SLOT) {
-    return { kind: "rejected", reason: "overload" };
+  const waitMs = (position(queue, ticket) + 1) * limiter.serviceMs /
+    admission.limit;
+  if (now + waitMs > ticket.deadlineAt) return DEADLINE;
+  if (queue.size >= admission.slots * QUEUE_PER_SLOT) {
+    const lower = victim(queue, ticket);
+    overflow(admission, lower ?? ticket);
+    if (lower === undefined) return OVERLOAD;
+    remove(queue, lower);
+    admission.evicted.push(lower);
   }
-  admission.queue.push(ticket);
-  return { kind: "queued" };
+  enqueue(queue, ticket);
+  return QUEUED;
+}
+
+/**
+ * Once a class is rejected, nothing of a lower class may take a slot that
+ * becomes free, so the level does not wait for the next tick.
+ */
+function overflow(admission: Admission, rejected: Ticket): void {
+  admission.demand.overflow += 1;
+  const floor = rankOf(rejected.priority) * COHORTS;
+  admission.level = Math.max(admission.level, floor);
 }
--- /dev/null
+++ b/src/admission/ranks.ts
@@ -0,0 +1,4 @@
+import { Importance } from "../context/importance.ts";
+
+/** Number of importance classes. */
+export const RANKS = Importance.options.length;
--- a/src/admission/tick.ts
+++ b/src/admission/tick.ts
@@ -1,16 +1,33 @@
+import { adaptLevel } from "./adapt_level.ts";
+import { adaptLimit } from "./adapt_limit.ts";
 import type { Admission } from "./admission.ts";
+import { fill } from "./fill.ts";
+import { remove } from "./remove.ts";
 import type { Ticket } from "./ticket.ts";
 
-/** Periodic work: adapts level and limit, and removes expired requests. */
+/**
+ * Periodic work, every 50 ms: removes expired requests and adapts limit and
+ * level. Returns the requests to start, whose slots are taken already, and the
+ * ones to drop, expired or evicted.
+ */
 export function tick(
   admission: Admission,
   now: number,
 ): { start: Ticket[]; drop: Ticket[] } {
-  const drop = admission.queue.filter((ticket) => now >= ticket.deadlineAt);
-  if (drop.length > 0) {
-    admission.queue = admission.queue.filter((ticket) =>
-      now < ticket.deadlineAt
-    );
+  const { queue } = admission;
+  const expired: Ticket[] = [];
+  for (const band of queue.bands) {
+    for (const lane of band.lanes.values()) {
+      for (const bucket of lane.buckets.values()) {
+        for (const ticket of bucket) {
+          if (now >= ticket.deadlineAt) expired.push(ticket);
+        }
+      }
+    }
   }
-  return { start: [], drop };
+  for (const ticket of expired) remove(queue, ticket);
+  adaptLimit(admission, now);
+  adaptLevel(admission, now);
+  const { start, drop } = fill(admission, now);
+  return { start, drop: [...expired, ...drop] };
 }
