--- /dev/null
+++ b/src/shedding/known.ts
@@ -0,0 +1,8 @@
+/** Latest admission level reported by a daemon. */
+export type Known = {
+  level: number;
+  /** When it was reported, in ms. */
+  at: number;
+  /** Requests below the level since the latest probe. */
+  rejected: number;
+};
--- a/src/shedding/learn.ts
+++ b/src/shedding/learn.ts
@@ -1,7 +1,14 @@
+import { keyOf } from "./key_of.ts";
 import type { Shedding } from "./shedding.ts";
 
 /** One admission level reported with a response. */
-type Report = { service: string; daemon: string; level: number };
+type Report = {
+  service: string;
+  daemon: string;
+  level: number;
+  /** Given where the daemon reports levels by department. */
+  department?: string;
+};
 
 /** Remembers the admission level that a daemon reported with a response. */
 export function learn(shedding: Shedding, report: Report, now: number): void {
@@ -10,5 +17,12 @@
     daemons = new Map();
     shedding.levels.set(report.service, daemons);
   }
-  daemons.set(report.daemon, { level: report.level, at: now });
+  const key = keyOf(report);
+  const known = daemons.get(key);
+  if (known === undefined) {
+    daemons.set(key, { level: report.level, at: now, rejected: 0 });
+    return;
+  }
+  known.level = report.level;
+  known.at = now;
 }
--- a/src/shedding/permits.ts
+++ b/src/shedding/permits.ts
@@ -1,20 +1,30 @@
+import { keyOf } from "./key_of.ts";
+import { levelAt } from "./level_at.ts";
+import { PROBE_INTERVAL } from "./probe_interval.ts";
 import type { Shedding } from "./shedding.ts";
 
-const LEVEL_LIFETIME_MS = 1000;
-
 /** A request that is about to be sent to a daemon. */
-type Query = { service: string; daemon: string; priority: number };
+type Query = {
+  service: string;
+  daemon: string;
+  priority: number;
+  department?: string;
+};
 
 /**
  * Returns whether the daemon would admit a request of this priority, judged by
- * the level in its latest response. An old level says nothing.
+ * the level in its latest response. An old level says little, and a share of
+ * the requests below a level passes as probes.
  */
 export function permits(
   shedding: Shedding,
   query: Query,
   now: number,
 ): boolean {
-  const known = shedding.levels.get(query.service)?.get(query.daemon);
-  if (known === undefined || now - known.at > LEVEL_LIFETIME_MS) return true;
-  return query.priority >= known.level;
+  const known = shedding.levels.get(query.service)?.get(keyOf(query));
+  if (known === undefined || query.priority >= levelAt(known, now)) return true;
+  known.rejected += 1;
+  if (known.rejected < PROBE_INTERVAL) return false;
+  known.rejected = 0;
+  return true;
 }
--- a/src/shedding/shedding.ts
+++ b/src/shedding/shedding.ts
@@ -1,4 +1,9 @@
-/** Admission levels learned from responses, by service and then by daemon. */
+import type { Known } from "./known.ts";
+
+/** Admission levels learned from responses. */
 export type Shedding = {
-  levels: Map<string, Map<string, { level: number; at: number }>>;
+  /** By service and then by daemon, see `keyOf`. */
+  levels: Map<string, Map<string, Known>>;
+  /** Requests rejected at the source since the latest probe, by service. */
+  rejected: Map<string, number>;
 };
