Eject outliers, spill over by load and bound connections

Cause: the first version had neither ejection nor slow start, and left the own data centre only when it was empty.

--- a/src/routing/candidate.ts
+++ b/src/routing/candidate.ts
@@ -9,4 +9,6 @@
   since: number;
   /** How long the server says it needs to warm up, in ms. */
   warmupMs: number;
+  /** Sequence of its entry, where known; a change ends an exclusion. */
+  sequence?: number;
 };
--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -1,11 +1,15 @@
 import type { Random } from "../core/random.ts";
 import type { Candidate } from "./candidate.ts";
-import { observe } from "./observe.ts";
+import type { Member } from "./member.ts";
+import { pick } from "./pick.ts";
+import type { Plan } from "./plan.ts";
+import { planFor } from "./plan_for.ts";
 import type { Routing } from "./routing.ts";
 
 /** One choice to make. */
 type Query = {
   service: string;
+  /** Compared by identity with the latest ones; see `membership`. */
   candidates: readonly Candidate[];
   /** Addresses already tried or excluded by shedding. */
   exclude: ReadonlySet<string>;
@@ -16,33 +20,62 @@
   | { kind: "chosen"; candidate: Candidate; reason: string; considered: number }
   | { kind: "none"; reason: string };
 
-/** Chooses a daemon for an attempt: two random choices, the less loaded wins. */
+/** Cost at which the own data centre starts to spill over. */
+const SPILL_FROM = 0.7;
+/** Cost at which it spills over whatever another data centre takes more easily. */
+const SPILL_ALL = 1.2;
+
+/**
+ * Chooses a daemon for an attempt: two random choices in the own data centre,
+ * the less loaded wins; another data centre takes a growing share as the own
+ * one fills. An ejected daemon whose time is over gets a single probe.
+ */
 export function choose(
   routing: Routing,
   query: Query,
-  _now: number,
+  now: number,
   random: Random,
 ): Choice {
-  const usable = query.candidates.filter((candidate) =>
-    !query.exclude.has(candidate.address)
-  );
-  if (usable.length === 0) return { kind: "none", reason: "no-candidate" };
-  const near = usable.filter((candidate) =>
-    candidate.dataCentre === routing.dataCentre
-  );
-  const pool = near.length > 0 ? near : usable;
-  const one = pool[Math.floor(random() * pool.length)]!;
-  const two = pool[Math.floor(random() * pool.length)]!;
-  const candidate = cost(routing, one) <= cost(routing, two) ? one : two;
-  return {
-    kind: "chosen",
-    candidate,
-    reason: near.length > 0 ? "own-data-centre" : "other-data-centre",
-    considered: pool.length,
-  };
+  const { candidates, exclude } = query;
+  if (candidates.length === 0) return { kind: "none", reason: "no-candidate" };
+  const plan = planFor(routing, query.service, candidates);
+  plan.usedAt = now;
+  const probe = dueProbe(plan, exclude, now);
+  if (probe !== null) return chosen(probe, "probe", plan.members.length);
+  const near = pick({ pool: plan.own, exclude }, now, random);
+  if (near !== null && !maySpill(near.cost, random)) {
+    return chosen(near.member, "own-data-centre", plan.own.length);
+  }
+  const far = pick({ pool: plan.others, exclude }, now, random);
+  if (near !== null && (far === null || far.cost >= near.cost)) {
+    return chosen(near.member, "own-data-centre", plan.own.length);
+  }
+  if (far === null) return { kind: "none", reason: "all-excluded" };
+  const reason = near === null ? "other-data-centre" : "spill-over";
+  return chosen(far.member, reason, plan.others.length);
+}
+
+/** The share grows with load, so that other data centres do not fill at once. */
+function maySpill(cost: number, random: Random): boolean {
+  return cost > SPILL_FROM &&
+    random() * (SPILL_ALL - SPILL_FROM) < cost - SPILL_FROM;
+}
+
+function dueProbe(
+  plan: Plan,
+  exclude: ReadonlySet<string>,
+  now: number,
+): Member | null {
+  for (const member of plan.ejected) {
+    const { observation, candidate } = member;
+    if (
+      now >= observation.ejectedUntil && !observation.probing &&
+      observation.leaving === null && !exclude.has(candidate.address)
+    ) return member;
+  }
+  return null;
 }
 
-function cost(routing: Routing, candidate: Candidate): number {
-  const observation = observe(routing, candidate.address);
-  return observation.inFlight / candidate.slots + observation.load;
+function chosen(member: Member, reason: string, considered: number): Choice {
+  return { kind: "chosen", candidate: member.candidate, reason, considered };
 }
--- /dev/null
+++ b/src/routing/cost.ts
@@ -0,0 +1,46 @@
+import type { Member } from "./member.ts";
+
+/** A reported load is worth nothing after this time. */
+const LOAD_LIFETIME_MS = 1000;
+const SUSPICION_LIFETIME_MS = 1000;
+/** Three failures make a daemon costlier than a full one. */
+const FAILURE_COST = 0.5;
+/** Share of the traffic that a cold server starts with. */
+const COLD_SHARE = 0.1;
+/** Ramp of a server that was ejected, where it announces no longer one. */
+const REINSTATED_RAMP_MS = 1000;
+
+/**
+ * Returns the cost of one more attempt at a daemon: (in flight + reported load)
+ * / limit, higher for a server that is still warming up and for one whose
+ * latest attempts failed.
+ */
+export function cost(member: Member, now: number): number {
+  const { candidate, observation } = member;
+  const ageMs = now - observation.loadAt;
+  const load = ageMs >= LOAD_LIFETIME_MS
+    ? 0
+    : observation.load * (1 - ageMs / LOAD_LIFETIME_MS);
+  const busy = (observation.inFlight + 1) / candidate.slots + load;
+  return busy / ramp(member, now) + suspicion(member, now);
+}
+
+/**
+ * Steers traffic away from a failing daemon that may not be ejected, because
+ * too many are; fades while it is idle, so that it is tried again.
+ */
+function suspicion({ observation }: Member, now: number): number {
+  if (observation.failures === 0) return 0;
+  const idleMs = now - observation.usedAt;
+  if (idleMs >= SUSPICION_LIFETIME_MS) return 0;
+  return observation.failures * FAILURE_COST *
+    (1 - idleMs / SUSPICION_LIFETIME_MS);
+}
+
+function ramp({ candidate, observation }: Member, now: number): number {
+  const { since, warmupMs } = candidate;
+  const returnedMs = now - observation.reinstatedAt;
+  const cold = warmupMs > 0 ? (now - since) / warmupMs : 1;
+  const returned = returnedMs / Math.max(warmupMs, REINSTATED_RAMP_MS);
+  return Math.max(COLD_SHARE, Math.min(1, cold, returned));
+}
--- a/src/routing/create_routing.ts
+++ b/src/routing/create_routing.ts
@@ -1,6 +1,9 @@
 import type { Routing } from "./routing.ts";
 
-/** Creates routing state without observations. */
-export function createRouting(dataCentre: string): Routing {
-  return { dataCentre, observations: new Map() };
+/**
+ * Creates routing state without observations. Without an own address all
+ * daemons choose the same connection subsets.
+ */
+export function createRouting(dataCentre: string, address = ""): Routing {
+  return { dataCentre, address, observations: new Map(), plans: new Map() };
 }
--- a/src/routing/observation.ts
+++ b/src/routing/observation.ts
@@ -10,6 +10,16 @@
   failures: number;
   /** No traffic until then, in ms; 0 where not ejected. */
   ejectedUntil: number;
+  /** Ejections in close succession; the next one lasts longer. */
+  ejections: number;
   /** Whether a single probe request is on its way to an ejected daemon. */
   probing: boolean;
+  /** When it was reinstated, in ms. */
+  reinstatedAt: number;
+  /** State of its entry when it rejected as leaving; null where it did not. */
+  leaving: { since: number; sequence: number | undefined } | null;
+  /** Latest attempt that started or ended, in ms. */
+  usedAt: number;
+  /** Service whose plan holds it; null where none does. */
+  service: string | null;
 };
--- a/src/routing/observe.ts
+++ b/src/routing/observe.ts
@@ -11,7 +11,12 @@
       loadAt: -Infinity,
       failures: 0,
       ejectedUntil: 0,
+      ejections: 0,
       probing: false,
+      reinstatedAt: -Infinity,
+      leaving: null,
+      usedAt: -Infinity,
+      service: null,
     };
     routing.observations.set(address, observation);
   }
--- /dev/null
+++ b/src/routing/plan.ts
@@ -0,0 +1,15 @@
+import type { Candidate } from "./candidate.ts";
+import type { Member } from "./member.ts";
+
+/** Candidates of a service prepared for choices; rebuilt when they change. */
+export type Plan = {
+  /** The list it was made from, compared by identity. */
+  source: readonly Candidate[];
+  /** The subset that gets connections. */
+  members: Member[];
+  own: Member[];
+  others: Member[];
+  ejected: Set<Member>;
+  /** Latest choice, in ms. */
+  usedAt: number;
+};
--- /dev/null
+++ b/src/routing/plan_for.ts
@@ -0,0 +1,78 @@
+import type { Candidate } from "./candidate.ts";
+import type { Member } from "./member.ts";
+import { MOST_EJECTED_SHARE } from "./most_ejected_share.ts";
+import { observe } from "./observe.ts";
+import type { Plan } from "./plan.ts";
+import type { Routing } from "./routing.ts";
+import { subset } from "./subset.ts";
+
+/**
+ * Returns the prepared candidates of a service. The list is cached by its
+ * owner, so its identity shows whether anything changed.
+ */
+export function planFor(
+  routing: Routing,
+  service: string,
+  candidates: readonly Candidate[],
+): Plan {
+  const old = routing.plans.get(service);
+  if (old?.source === candidates) return old;
+  if (old !== undefined) detach(old, candidates);
+  const plan = build(routing, service, candidates);
+  routing.plans.set(service, plan);
+  return plan;
+}
+
+function build(
+  routing: Routing,
+  service: string,
+  candidates: readonly Candidate[],
+): Plan {
+  const members = subset(routing, candidates).map((candidate) => {
+    const observation = observe(routing, candidate.address);
+    observation.service = service;
+    return { candidate, observation };
+  });
+  for (const { candidate, observation } of members) {
+    const { leaving } = observation;
+    if (
+      leaving !== null &&
+      (leaving.since !== candidate.since ||
+        leaving.sequence !== candidate.sequence)
+    ) observation.leaving = null;
+  }
+  const near = ({ candidate }: { candidate: Candidate }) =>
+    candidate.dataCentre === routing.dataCentre;
+  return {
+    source: candidates,
+    members,
+    own: members.filter(near),
+    others: members.filter((member) => !near(member)),
+    ejected: stillEjected(members),
+    usedAt: -Infinity,
+  };
+}
+
+/** Keeps the bound on ejections when candidates went away. */
+function stillEjected(members: Member[]): Set<Member> {
+  const ejected = members
+    .filter(({ observation }) => observation.ejectedUntil > 0)
+    .sort((one, two) =>
+      two.observation.ejectedUntil - one.observation.ejectedUntil
+    );
+  const most = Math.floor(members.length * MOST_EJECTED_SHARE);
+  for (const { observation } of ejected.splice(most)) {
+    observation.ejectedUntil = 0;
+    observation.probing = false;
+  }
+  return new Set(ejected);
+}
+
+/** A daemon that vanished from the list has changed its entry. */
+function detach(plan: Plan, candidates: readonly Candidate[]): void {
+  const present = new Set(candidates.map(({ address }) => address));
+  for (const { candidate, observation } of plan.members) {
+    observation.service = null;
+    if (!present.has(candidate.address)) observation.leaving = null;
+  }
+}
