Add the operators' library: builder, agreements, keys, signing

Cause: operators need a typed way to declare services, requests and shared terms, and to sign them with their department's key. An agreement holds weighted shares; its signers are all of its parties. Conclusion: terms can be written and signed; nothing puts them into effect yet.

--- /dev/null
+++ b/src/rules/agreement.ts
@@ -0,0 +1,39 @@
+import type { Result } from "../core/result.ts";
+import type { AgreementBuilder } from "./agreement_builder.ts";
+import type { AgreementTerms } from "./agreement_terms.ts";
+import { checkTerms } from "./check_terms.ts";
+import { printTerms } from "./print_terms.ts";
+import type { Share } from "./share.ts";
+
+/**
+ * Starts an agreement between departments. It takes effect with the signatures
+ * of all parties; other parties make it another agreement.
+ */
+export function agreement<Party extends string>(
+  name: string,
+  parties: readonly Party[],
+): AgreementBuilder<Party> {
+  return collect(name, parties, []);
+}
+
+function collect<Party extends string>(
+  name: string,
+  parties: readonly Party[],
+  shares: readonly Share[],
+): AgreementBuilder<Party> {
+  const build = () =>
+    checkTerms({
+      kind: "agreement",
+      agreement: name,
+      parties: [...parties].sort(),
+      shares: [...shares].sort((left, right) =>
+        left.service < right.service ? -1 : 1
+      ),
+    }) as Result<AgreementTerms>;
+  return {
+    shares: (service, weights) =>
+      collect(name, parties, [...shares, { service, weights }]),
+    build,
+    print: () => printTerms(build()),
+  };
+}
--- /dev/null
+++ b/src/rules/parse_terms.ts
@@ -0,0 +1,11 @@
+import { z } from "zod";
+import type { Result } from "../core/result.ts";
+import { checkTerms } from "./check_terms.ts";
+import { parseJson } from "./parse_json.ts";
+import type { Terms } from "./terms.ts";
+
+/** Parses a printed configuration or agreement; reports every mistake at once. */
+export function parseTerms(text: string): Result<Terms> {
+  const json = parseJson(z.unknown(), text);
+  return json.ok ? checkTerms(json.value) : json;
+}
--- /dev/null
+++ b/src/rules/print_terms.ts
@@ -0,0 +1,8 @@
+import { canonicalJson } from "../core/canonical_json.ts";
+import type { Result } from "../core/result.ts";
+import type { Terms } from "./terms.ts";
+
+/** Returns checked terms as canonical JSON; issues pass through. */
+export function printTerms(terms: Result<Terms>): Result<string> {
+  return terms.ok ? { ok: true, value: canonicalJson(terms.value) } : terms;
+}
--- /dev/null
+++ b/src/rules/sign_section.ts
@@ -0,0 +1,21 @@
+import { type KeyObject, sign } from "node:crypto";
+import type { Section } from "./section.ts";
+import { sectionDigest } from "./section_digest.ts";
+import { signedText } from "./signed_text.ts";
+
+/** Who signs, with the private key. */
+type Signer = { department: string; privateKey: KeyObject };
+
+/**
+ * Returns the section with the signature of one more department. The parties of
+ * an agreement sign one after another, in any order.
+ */
+export function signSection(
+  section: Pick<Section, "version" | "terms"> & Partial<Section>,
+  { department, privateKey }: Signer,
+): Section {
+  const text = signedText(sectionDigest(section));
+  const signature = sign(null, text, privateKey).toString("base64");
+  const signatures = { ...section.signatures, [department]: signature };
+  return { version: section.version, terms: section.terms, signatures };
+}
