Keep rules in the table service by compare-and-set

Cause: rival operators submit at once, and the store can be down, lose a response after the write, or go back to an older state. A submit checks the change as a daemon does, writes it in one transaction, and resolves a lost response by reading back; a write that is overtaken by another head is known not to have taken effect. Conclusion: each outcome of a submit is certain, or says that it is not known.

--- /dev/null
+++ b/src/rules/change_writes.ts
@@ -0,0 +1,44 @@
+import { canonicalJson } from "../core/canonical_json.ts";
+import type { Write } from "../platform/write.ts";
+import type { Change } from "./change.ts";
+import { ROWS } from "./rows.ts";
+
+/** Attributes of the section row and the state row that hold their bodies. */
+type Bodies = {
+  section: Record<string, string>;
+  state: Record<string, string>;
+};
+
+/**
+ * Returns the writes of one change, for one transaction. The condition is the
+ * digest of the head that the change follows.
+ */
+export function changeWrites(
+  { record, section }: Change,
+  bodies: Bodies,
+): Write[] {
+  const { sequence, digest, id } = record;
+  const previous: Write["condition"] = sequence === 1
+    ? { kind: "absent" }
+    : { kind: "equals", attribute: "digest", value: record.previous };
+  const signatures = canonicalJson(section.signatures);
+  return [
+    write(ROWS.head, { sequence, digest, changeId: id }, previous),
+    write(ROWS.change(sequence), record, { kind: "absent" }),
+    write(ROWS.section(record.name, record.version), {
+      ...bodies.section,
+      signatures,
+      sequence,
+      changeId: id,
+    }, { kind: "absent" }),
+    write(ROWS.state, { ...bodies.state, sequence }, { kind: "none" }),
+  ];
+}
+
+function write(
+  sort: string,
+  attributes: Record<string, string | number>,
+  condition: Write["condition"],
+): Write {
+  return { item: { partition: ROWS.partition, sort, attributes }, condition };
+}
--- /dev/null
+++ b/src/rules/invalid_row.ts
@@ -0,0 +1,19 @@
+import type { Issue } from "../core/issue.ts";
+import { ROWS } from "./rows.ts";
+import type { StoreFault } from "./store_fault.ts";
+
+/** Reports a row that is missing or does not hold what it should. */
+export function invalidRow(
+  sort: string,
+  issues: readonly Issue[] = [],
+): StoreFault {
+  const path = [ROWS.partition, sort];
+  const message = `Row ${sort} is missing or damaged`;
+  return {
+    kind: "invalid",
+    issues: [
+      { code: "invalid-row", path, message },
+      ...issues.map((each) => ({ ...each, path: [...path, ...each.path] })),
+    ],
+  };
+}
--- /dev/null
+++ b/src/rules/read_head.ts
@@ -0,0 +1,24 @@
+import { parse } from "../core/parse.ts";
+import type { TableService } from "../platform/table_service.ts";
+import { GENESIS } from "./genesis.ts";
+import { Head } from "./head.ts";
+import { invalidRow } from "./invalid_row.ts";
+import { ROWS } from "./rows.ts";
+import type { StoreFault } from "./store_fault.ts";
+
+/** Reads the head from the store; an empty store has sequence 0. One read. */
+export async function readHead(
+  table: TableService,
+): Promise<{ kind: "found"; head: Head } | StoreFault> {
+  const { partition, head: sort } = ROWS;
+  const row = await table.get({ partition, sort });
+  if (row.kind === "unavailable") return row;
+  if (row.kind === "absent") {
+    const { sequence, digest, id } = GENESIS;
+    return { kind: "found", head: { sequence, digest, changeId: id } };
+  }
+  const head = parse(Head, row.item.attributes);
+  return head.ok
+    ? { kind: "found", head: head.value }
+    : invalidRow(sort, head.issues);
+}
--- /dev/null
+++ b/src/rules/read_section.ts
@@ -0,0 +1,33 @@
+import { parseJson } from "./parse_json.ts";
+import { readBody } from "./read_body.ts";
+import { invalidRow } from "./invalid_row.ts";
+import { ROWS } from "./rows.ts";
+import { Section } from "./section.ts";
+import type { StoreFault } from "./store_fault.ts";
+import type { Stores } from "./stores.ts";
+
+const Body = Section.omit({ signatures: true });
+const Signatures = Section.shape.signatures;
+
+/** Reads one version of a section; its signatures are not verified here. */
+export async function readSection(
+  { table, objects }: Stores,
+  { name, version }: { name: string; version: number },
+): Promise<{ kind: "found"; section: Section } | StoreFault> {
+  const { partition } = ROWS;
+  const sort = ROWS.section(name, version);
+  const row = await table.get({ partition, sort });
+  if (row.kind === "unavailable") return row;
+  if (row.kind === "absent") return invalidRow(sort);
+  const read = await readBody(objects, row.item);
+  if (read.kind !== "found") return read;
+  const body = parseJson(Body, read.body);
+  if (!body.ok) return invalidRow(sort, body.issues);
+  const signatures = parseJson(
+    Signatures,
+    String(row.item.attributes.signatures),
+  );
+  if (!signatures.ok) return invalidRow(sort, signatures.issues);
+  const section = { ...body.value, signatures: signatures.value };
+  return { kind: "found", section };
+}
--- /dev/null
+++ b/src/rules/rows.ts
@@ -0,0 +1,13 @@
+const SEQUENCE_DIGITS = 12;
+
+/** Keys of the rows that hold the rules. */
+export const ROWS = {
+  partition: "rules",
+  head: "head",
+  /** Versions of all sections after the newest change. */
+  state: "state",
+  /** Padded, so that the order of the rows is that of the changes. */
+  change: (sequence: number) =>
+    `change#${String(sequence).padStart(SEQUENCE_DIGITS, "0")}`,
+  section: (name: string, version: number) => `section#${name}#${version}`,
+};
--- /dev/null
+++ b/src/rules/submission.ts
@@ -0,0 +1,15 @@
+import type { ObjectStore } from "../platform/object_store.ts";
+import type { Section } from "./section.ts";
+
+/** A change that an operator submits. */
+export type Submission = {
+  objects: ObjectStore;
+  /** The signed section, with the version after the one in effect. */
+  section: Section;
+  /** Chosen once per change and kept when it is submitted again. */
+  changeId: string;
+  /** Public keys of all departments, in base64. */
+  departmentKeys: Readonly<Record<string, string>>;
+  /** Waits before another attempt; the delay is up to the caller. */
+  pause?: (attempt: number) => Promise<void>;
+};
--- /dev/null
+++ b/src/rules/submit_change.ts
@@ -0,0 +1,37 @@
+import type { TableService } from "../platform/table_service.ts";
+import { createRules } from "./create_rules.ts";
+import type { Submission } from "./submission.ts";
+import type { SubmissionOutcome } from "./submission_outcome.ts";
+import type { SubmissionProgress } from "./submission_progress.ts";
+import { submitOnce } from "./submit_once.ts";
+
+const MAX_ATTEMPTS = 5;
+
+/**
+ * Submits a signed section by compare-and-set on the head. When the response to
+ * a write is lost, or another department's change comes first, it reads back and
+ * tries again; a version taken by another change is a conflict. Submitting the
+ * same change again is harmless.
+ */
+export async function submitChange(
+  table: TableService,
+  submission: Submission,
+): Promise<SubmissionOutcome> {
+  const progress: SubmissionProgress = {
+    rules: createRules(submission),
+    sent: false,
+    doubts: new Set(),
+    message: "The head of the store kept changing",
+  };
+  // The last attempt only reads, to resolve the write before it.
+  for (let attempt = 0; attempt <= MAX_ATTEMPTS; attempt++) {
+    if (attempt > 0) await submission.pause?.(attempt);
+    const step = await submitOnce(table, submission, {
+      progress,
+      write: attempt < MAX_ATTEMPTS,
+    });
+    if (step.kind !== "again") return step;
+  }
+  const { doubts, message } = progress;
+  return { kind: doubts.size > 0 ? "not-known" : "not-accepted", message };
+}
--- /dev/null
+++ b/src/rules/submit_once.ts
@@ -0,0 +1,75 @@
+import type { Issue } from "../core/issue.ts";
+import type { TableService } from "../platform/table_service.ts";
+import { createChange } from "./create_change.ts";
+import { findWinner } from "./find_winner.ts";
+import { refreshRules } from "./refresh_rules.ts";
+import { sectionDigest } from "./section_digest.ts";
+import { sectionName } from "./section_name.ts";
+import type { StoreFault } from "./store_fault.ts";
+import type { Submission } from "./submission.ts";
+import type { SubmissionOutcome } from "./submission_outcome.ts";
+import type { SubmissionProgress } from "./submission_progress.ts";
+import { writeChange } from "./write_change.ts";
+
+type Step = SubmissionOutcome | { kind: "again" };
+type Attempt = { progress: SubmissionProgress; write: boolean };
+
+/** Makes one attempt: reads the state, looks for the change, writes it. */
+export async function submitOnce(
+  table: TableService,
+  submission: Submission,
+  { progress, write }: Attempt,
+): Promise<Step> {
+  const stores = { table, objects: submission.objects };
+  const fault = await refreshRules(stores, progress.rules);
+  if (fault) return stopped(progress, fault);
+  const earlier = await lookUp(table, submission, progress);
+  if (earlier) return earlier;
+  if (!write) return { kind: "again" };
+  const change = createChange(progress.rules, {
+    section: submission.section,
+    id: submission.changeId,
+  });
+  if (!change.ok) return rejected(progress, change.issues);
+  return await writeChange(stores, change.value, progress);
+}
+
+async function lookUp(
+  table: TableService,
+  { section, changeId }: Submission,
+  progress: SubmissionProgress,
+): Promise<Step | undefined> {
+  const { version, terms } = section;
+  const found = await findWinner(table, { name: sectionName(terms), version });
+  if (found.kind === "absent") {
+    // The state was read before the row: a write that depends on an older head
+    // has not taken effect and never will.
+    const head = progress.rules.record.digest;
+    progress.doubts = new Set(
+      [...progress.doubts].filter((each) => each === head),
+    );
+    return undefined;
+  }
+  if (found.kind !== "found") return stopped(progress, found);
+  const { winner } = found;
+  const { sequence } = winner;
+  if (
+    winner.changeId !== changeId || winner.digest !== sectionDigest(section)
+  ) {
+    return { kind: "conflict", sequence, version, changeId: winner.changeId };
+  }
+  const kind = progress.sent ? "accepted" : "already-accepted";
+  return { kind, sequence, version };
+}
+
+function stopped(progress: SubmissionProgress, fault: StoreFault): Step {
+  if (fault.kind === "invalid") return rejected(progress, fault.issues);
+  progress.message = fault.message;
+  return { kind: "again" };
+}
+
+function rejected({ doubts }: SubmissionProgress, issues: Issue[]): Step {
+  if (doubts.size === 0) return { kind: "rejected", issues };
+  const message = issues.map((issue) => issue.message).join("; ");
+  return { kind: "not-known", message };
+}
--- /dev/null
+++ b/standin/memory_objects.ts
@@ -0,0 +1,32 @@
+import type { ObjectStore } from "../src/platform/object_store.ts";
+
+/** An object store in memory that a test can take down. */
+type MemoryObjects = ObjectStore & {
+  bodies: Map<string, Buffer>;
+  down: boolean;
+};
+
+const DOWN = { kind: "unavailable", message: "Object store is down" } as const;
+
+/** Returns an empty object store. */
+export function createMemoryObjects(): MemoryObjects {
+  const objects: MemoryObjects = {
+    bodies: new Map(),
+    down: false,
+    get: (key) => Promise.resolve(get(objects, key)),
+    put: (key, body) => Promise.resolve(put(objects, key, body)),
+  };
+  return objects;
+}
+
+function get({ bodies, down }: MemoryObjects, key: string) {
+  if (down) return DOWN;
+  const body = bodies.get(key);
+  return body ? { kind: "found" as const, body } : { kind: "absent" as const };
+}
+
+function put({ bodies, down }: MemoryObjects, key: string, body: Buffer) {
+  if (down) return DOWN;
+  bodies.set(key, body);
+  return { kind: "written" as const };
+}
