--- /dev/null
+++ b/src/rules/notify_head.ts
@@ -0,0 +1,16 @@
+import type { HeadNotice } from "./head_notice.ts";
+import type { Rules } from "./rules.ts";
+import { rulesHead } from "./rules_head.ts";
+
+// A change arrives three times on average when it is pushed; a larger one is
+// pulled once instead.
+const MAX_PUSHED_BYTES = 2_048;
+
+/** Returns the notice of the head in effect that is pushed to peers. */
+export function notifyHead(rules: Rules): HeadNotice {
+  const head = rulesHead(rules);
+  const newest = rules.recent.at(-1);
+  return newest && newest.bytes <= MAX_PUSHED_BYTES
+    ? { head, change: newest.change }
+    : { head };
+}
