Add the directory, gossip, failure detection and control authentication

Cause: daemons need a shared directory without a coordination service, and control messages that a stranger can neither forge nor replay.

--- /dev/null
+++ b/src/membership/accuse.ts
@@ -0,0 +1,26 @@
+import type { Directory } from "./directory.ts";
+import { isLive } from "./is_live.ts";
+import { noteNews } from "./note_news.ts";
+import { putReport } from "./put_report.ts";
+import type { Verdict } from "./verdict.ts";
+import { watchSuspect } from "./watch_suspect.ts";
+
+/**
+ * Lays a verdict over the present version of a member's entry. Returns whether
+ * it was raised; the own entry and departed members are left alone.
+ */
+export function accuse(
+  directory: Directory,
+  { address, verdict }: { address: string; verdict: Verdict },
+  now: number,
+): boolean {
+  const member = directory.members.get(address);
+  if (member === undefined || !isLive(member)) return false;
+  if (address === directory.identity.address) return false;
+  if (member.verdict >= verdict) return false;
+  const report = { entry: member.entry, verdict };
+  putReport(directory, report, now);
+  noteNews(directory, address);
+  watchSuspect(directory, report, now);
+  return true;
+}
--- /dev/null
+++ b/src/membership/answer_exchange.ts
@@ -0,0 +1,64 @@
+import { answerBuckets } from "./answer_buckets.ts";
+import type { Directory } from "./directory.ts";
+import type { ExchangeRequest } from "./exchange_request.ts";
+import type { ExchangeResponse } from "./exchange_response.ts";
+import { mergeMessage } from "./merge_message.ts";
+import { MESSAGE_BYTES } from "./message_bytes.ts";
+import type { MessageReports } from "./message_reports.ts";
+import { noteContact } from "./note_contact.ts";
+import { packReport } from "./pack_report.ts";
+import type { RulesMark } from "./rules_mark.ts";
+import { spreads } from "./spreads.ts";
+import { takeNews } from "./take_news.ts";
+
+type Answer = Omit<ExchangeResponse, "rules">;
+
+const ANSWERS: Record<
+  ExchangeRequest["stage"],
+  (
+    directory: Directory,
+    request: ExchangeRequest,
+    corrections: MessageReports,
+  ) => Answer
+> = {
+  1: answerNews,
+  2: answerBuckets,
+  3: (_directory, _request, corrections) => ({ reports: corrections }),
+};
+
+/** Merges one leg of an exchange and returns the answer to it. */
+export function answerExchange(
+  directory: Directory,
+  request: ExchangeRequest,
+  { rules }: { rules: RulesMark },
+  now: number,
+): ExchangeResponse {
+  const { from, dataCentre, stage, reports } = request;
+  noteContact(directory, { address: from, dataCentre, reached: true }, now);
+  const spread = stage === 1 || spreads(reports);
+  const corrections = mergeMessage(directory, { reports, spread }, now);
+  return { ...ANSWERS[stage](directory, request, corrections), rules };
+}
+
+function answerNews(
+  directory: Directory,
+  request: ExchangeRequest,
+  corrections: MessageReports,
+): Answer {
+  const reports = [...corrections];
+  const exclude = new Set(request.reports.map(([address]) => address));
+  const sender = directory.members.get(request.from);
+  // Tells the sender what is held against it, so that it can refute it.
+  if (
+    sender !== undefined && sender.verdict > 0 && !exclude.has(request.from)
+  ) {
+    reports.push(packReport(sender));
+    exclude.add(request.from);
+  }
+  const bytes = MESSAGE_BYTES.news;
+  reports.push(...takeNews(directory, { exclude, bytes }));
+  if (directory.digest === request.digest) return { reports };
+  const digests = [...directory.centres]
+    .map(([name, { digest }]): [string, number] => [name, digest]);
+  return { reports, digests };
+}
--- /dev/null
+++ b/src/membership/bootstrap_seats.ts
@@ -0,0 +1,2 @@
+/** Bootstrap rows per data centre. */
+export const BOOTSTRAP_SEATS = 4;
--- /dev/null
+++ b/src/membership/candidates.ts
@@ -0,0 +1,39 @@
+import type { Candidate } from "../routing/candidate.ts";
+import type { Directory } from "./directory.ts";
+import { indexOffer } from "./index_offer.ts";
+import type { Member } from "./member.ts";
+
+const NONE: readonly Candidate[] = Object.freeze([]);
+
+/**
+ * Returns the daemons that can take requests of a service: `up`, with a
+ * server, neither failed nor in an unreachable data centre. The same array is
+ * returned until one of them changes.
+ */
+export function candidates(
+  directory: Directory,
+  service: string,
+): readonly Candidate[] {
+  const offer = offersOf(directory).get(service);
+  if (offer === undefined) return NONE;
+  offer.list ??= [...offer.members.values()]
+    .filter(({ entry }) => !directory.lost.has(entry.dataCentre))
+    .map(candidateOf);
+  return offer.list;
+}
+
+function offersOf(directory: Directory) {
+  if (directory.offers === null) {
+    directory.offers = new Map();
+    for (const member of directory.members.values()) {
+      indexOffer(directory, undefined, member);
+    }
+  }
+  return directory.offers;
+}
+
+function candidateOf({ entry, since }: Member): Candidate {
+  const { address, dataCentre } = entry;
+  const { slots, warmupMs } = entry.server!;
+  return { address, dataCentre, slots, since, warmupMs };
+}
--- /dev/null
+++ b/src/membership/centre.ts
@@ -0,0 +1,7 @@
+/** The digests over the live entries of one data centre. */
+export type Centre = {
+  /** Sum of the fingerprints, modulo 2^48. */
+  digest: number;
+  /** The same sum for each bucket of addresses. */
+  buckets: Float64Array;
+};
--- /dev/null
+++ b/src/membership/choose_partner.ts
@@ -0,0 +1,86 @@
+import type { Random } from "../core/random.ts";
+import type { Directory } from "./directory.ts";
+import { isLive } from "./is_live.ts";
+import { peersOf } from "./peers_of.ts";
+
+/** Most changes matter to the own data centre, and its members are near. */
+const OWN_SHARE = 0.8;
+/** While a data centre fails, this share of rounds settles whether it is lost. */
+const SAMPLE_SHARE = 0.5;
+/** Bounds how long the return of a lost data centre goes unnoticed. */
+const LOST_SHARE = 0.25;
+/** Lets two parts of a data centre that failed each other meet again. */
+const FAILED_SHARE = 0.03;
+
+type Pick = (directory: Directory, random: Random) => string | null;
+
+const PICKS: readonly { share: number; pick: Pick }[] = [
+  { share: FAILED_SHARE, pick: pickFailed },
+  { share: SAMPLE_SHARE, pick: pickFailing },
+  { share: LOST_SHARE, pick: pickLost },
+  { share: OWN_SHARE, pick: pickOwn },
+  { share: 1, pick: pickOther },
+  { share: 1, pick: pickOwn },
+  { share: 1, pick: pickLost },
+  { share: 1, pick: pickFailed },
+];
+
+/**
+ * Chooses the partner of the next exchange, uniformly from the full directory
+ * within the chosen kind; null if no other daemon is known.
+ */
+export function choosePartner(
+  directory: Directory,
+  random: Random,
+): string | null {
+  for (const { share, pick } of PICKS) {
+    const address = random() < share ? pick(directory, random) : null;
+    if (address !== null) return address;
+  }
+  return null;
+}
+
+function pickOwn(directory: Directory, random: Random): string | null {
+  const { dataCentre } = directory.identity;
+  return any(peersOf(directory).get(dataCentre) ?? [], random);
+}
+
+function pickOther(directory: Directory, random: Random): string | null {
+  const { identity: { dataCentre }, lost } = directory;
+  const centres = [...peersOf(directory).keys()]
+    .filter((name) => name !== dataCentre && !lost.has(name));
+  return pickIn(directory, centres, random);
+}
+
+function pickLost(directory: Directory, random: Random): string | null {
+  return pickIn(directory, [...directory.lost.keys()], random);
+}
+
+function pickFailing(directory: Directory, random: Random): string | null {
+  const name = any([...directory.failing.keys()], random);
+  if (name === null) return null;
+  const untried = (peersOf(directory).get(name) ?? [])
+    .filter((address) => !directory.failing.get(name)!.has(address));
+  return any(untried, random);
+}
+
+function pickFailed(directory: Directory, random: Random): string | null {
+  const failed = [...directory.tombstones.keys()].filter((address) => {
+    const member = directory.members.get(address)!;
+    return !isLive(member) && member.entry.state !== "gone";
+  });
+  return any(failed, random);
+}
+
+function pickIn(
+  directory: Directory,
+  centres: string[],
+  random: Random,
+): string | null {
+  const name = any(centres, random);
+  return name === null ? null : any(peersOf(directory).get(name) ?? [], random);
+}
+
+function any(list: readonly string[], random: Random): string | null {
+  return list[Math.floor(random() * list.length)] ?? null;
+}
--- /dev/null
+++ b/src/membership/create_gossiper.ts
@@ -0,0 +1,120 @@
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import { chooseHelpers } from "./choose_helpers.ts";
+import { choosePartner } from "./choose_partner.ts";
+import type { ControlClient } from "./control_client.ts";
+import type { Directory } from "./directory.ts";
+import type { ExchangeRequest } from "./exchange_request.ts";
+import { finishExchange } from "./finish_exchange.ts";
+import { judgeProbe } from "./judge_probe.ts";
+import { noteContact } from "./note_contact.ts";
+import { ownMember } from "./own_member.ts";
+import { packReport } from "./pack_report.ts";
+import { peersOf } from "./peers_of.ts";
+import type { RulesMark } from "./rules_mark.ts";
+import { startExchange } from "./start_exchange.ts";
+import { tick } from "./tick.ts";
+
+/** Daemons that urgent news is pushed to at once. */
+const PUSH_PEERS = 4;
+/** Lets two groups that started apart meet through the settings. */
+const SEED_SHARE = 0.03;
+
+type Parts = {
+  directory: Directory;
+  client: ControlClient;
+  now(): number;
+  random: Random;
+  log: Logger;
+  rules(): RulesMark;
+  noteRules(mark: { address: string; rules: RulesMark }): void;
+  /** Addresses from the settings and the bootstrap rows. */
+  seeds(): readonly string[];
+};
+
+/** Runs exchanges, probes and urgent pushes; timers belong to the daemon. */
+type Gossiper = {
+  /** Runs timeouts and one exchange; call it about once a second. */
+  round(): Promise<void>;
+  /** Pushes the own entry to a few daemons, for a planned shutdown. */
+  pushOwn(): Promise<void>;
+};
+
+/** Returns the gossiper of a daemon. */
+export function createGossiper(parts: Parts): Gossiper {
+  return {
+    round: () => round(parts),
+    pushOwn: () => pushOwn(parts),
+  };
+}
+
+async function round(parts: Parts): Promise<void> {
+  const { directory, now, random } = parts;
+  tick(directory, now());
+  const partner = pickPartner(parts);
+  if (partner === null) return;
+  const reached = await exchange(parts, partner);
+  const dataCentre = directory.members.get(partner)?.entry.dataCentre;
+  if (dataCentre === undefined) return;
+  noteContact(directory, { address: partner, dataCentre, reached }, now());
+  if (reached || dataCentre !== directory.identity.dataCentre) return;
+  // An exchange within the data centre is also the probe of its partner.
+  const helpers = chooseHelpers(directory, partner, random);
+  const findings = await Promise.all(
+    helpers.map((helper) => parts.client.indirectProbe(helper, partner)),
+  );
+  const verdict = judgeProbe(directory, { target: partner, findings }, now());
+  parts.log("probe-failed", {
+    target: partner,
+    verdict,
+    findings: findings.join(","),
+  });
+}
+
+function pickPartner({ directory, random, seeds }: Parts): string | null {
+  const { address } = directory.identity;
+  const unknown = seeds().filter((seed) =>
+    seed !== address && !directory.members.has(seed)
+  );
+  const share = peersOf(directory).size === 0 ? 1 : SEED_SHARE;
+  if (unknown.length > 0 && random() < share) {
+    return unknown[Math.floor(random() * unknown.length)]!;
+  }
+  return choosePartner(directory, random);
+}
+
+/** Runs the legs of one exchange; returns whether the partner answered. */
+async function exchange(parts: Parts, partner: string): Promise<boolean> {
+  const { directory, client, now } = parts;
+  let request: ExchangeRequest | null = startExchange(directory, {
+    rules: parts.rules(),
+    partner,
+  });
+  let reached = false;
+  while (request !== null) {
+    const reply = await client.exchange(partner, request);
+    reached ||= reply.kind !== "unreached";
+    if (reply.kind !== "answered") {
+      const { kind, message } = reply;
+      parts.log("exchange-failed", { partner, kind, message });
+      return reached;
+    }
+    const response = reply.value;
+    parts.noteRules({ address: partner, rules: response.rules });
+    request = finishExchange(directory, { request, response }, now());
+  }
+  return reached;
+}
+
+async function pushOwn(parts: Parts): Promise<void> {
+  const { directory, client, random } = parts;
+  const reports = [packReport(ownMember(directory))];
+  const peers = new Set<string>();
+  for (let tries = 0; tries < 2 * PUSH_PEERS; tries++) {
+    const peer = choosePartner(directory, random);
+    if (peer !== null && peers.size < PUSH_PEERS) peers.add(peer);
+  }
+  await Promise.all(
+    [...peers].map((peer) => client.push(peer, { reports })),
+  );
+}
--- /dev/null
+++ b/src/membership/exchange_request.ts
@@ -0,0 +1,27 @@
+import { z } from "zod";
+import { BUCKETS } from "./buckets.ts";
+import { MessageReports } from "./message_reports.ts";
+import { RulesMark } from "./rules_mark.ts";
+
+const MAX_CENTRES = 16;
+
+/**
+ * One leg of an exchange. Stage 1 carries news and a digest over everything,
+ * stage 2 the bucket digests of data centres that differ, stage 3 the entries
+ * that the other side lacks.
+ */
+export const ExchangeRequest = z.strictObject({
+  stage: z.union([z.literal(1), z.literal(2), z.literal(3)]),
+  from: z.string().min(1).max(64),
+  dataCentre: z.string().min(1).max(64),
+  digest: z.number().int().min(0),
+  reports: MessageReports,
+  buckets: z.array(
+    z.tuple([
+      z.string().min(1).max(64),
+      z.array(z.number().int().min(0)).length(BUCKETS),
+    ]),
+  ).max(MAX_CENTRES).optional(),
+  rules: RulesMark,
+});
+export type ExchangeRequest = z.infer<typeof ExchangeRequest>;
--- /dev/null
+++ b/src/membership/exchange_response.ts
@@ -0,0 +1,22 @@
+import { z } from "zod";
+import { BUCKETS } from "./buckets.ts";
+import { MessageReports } from "./message_reports.ts";
+import { RulesMark } from "./rules_mark.ts";
+
+const MAX_CENTRES = 256;
+const Name = z.string().min(1).max(64);
+
+/** The answer to one leg of an exchange. */
+export const ExchangeResponse = z.strictObject({
+  reports: MessageReports,
+  /** Stage 1: digests of all data centres, where the whole digest differs. */
+  digests: z.array(z.tuple([Name, z.number().int().min(0)]))
+    .max(MAX_CENTRES).optional(),
+  /** Stage 2: differing buckets whose live entries are all in `reports`. */
+  differing: z.array(z.tuple([
+    Name,
+    z.array(z.number().int().min(0).max(BUCKETS - 1)).max(BUCKETS),
+  ])).max(MAX_CENTRES).optional(),
+  rules: RulesMark,
+});
+export type ExchangeResponse = z.infer<typeof ExchangeResponse>;
--- /dev/null
+++ b/src/membership/index_offer.ts
@@ -0,0 +1,40 @@
+import type { Directory } from "./directory.ts";
+import { isLive } from "./is_live.ts";
+import type { Member } from "./member.ts";
+
+/** Moves a changed member between services and drops the lists it changes. */
+export function indexOffer(
+  directory: Directory,
+  old: Member | undefined,
+  member: Member,
+): void {
+  const { offers } = directory;
+  if (offers === null) return;
+  const from = old && serviceOf(old);
+  const to = serviceOf(member);
+  const { address } = member.entry;
+  if (from !== undefined && from !== to) {
+    const offer = offers.get(from);
+    offer?.members.delete(address);
+    if (offer !== undefined) offer.list = null;
+    if (offer?.members.size === 0) offers.delete(from);
+  }
+  if (to === undefined) return;
+  let offer = offers.get(to);
+  if (offer === undefined) {
+    offer = { members: new Map(), list: null };
+    offers.set(to, offer);
+  }
+  offer.members.set(address, member);
+  if (from !== to || shows(old!) !== shows(member)) offer.list = null;
+}
+
+function serviceOf(member: Member): string | undefined {
+  if (!isLive(member) || member.entry.state !== "up") return undefined;
+  return member.entry.server?.service;
+}
+
+function shows({ entry, since }: Member): string {
+  const { server, dataCentre } = entry;
+  return `${dataCentre} ${server?.slots} ${server?.warmupMs} ${since}`;
+}
--- /dev/null
+++ b/src/membership/keep_bootstrap.ts
@@ -0,0 +1,21 @@
+import type { TableService } from "../platform/table_service.ts";
+import type { Directory } from "./directory.ts";
+import { planBootstrap } from "./plan_bootstrap.ts";
+import { readBootstrap } from "./read_bootstrap.ts";
+
+/**
+ * Reads the bootstrap rows of the own data centre, writes the own one if that
+ * is due, and returns the addresses found; null while the table service is
+ * out. A lost or conflicting write is settled by the next call. Call it at the
+ * start until it succeeds, then about once a minute.
+ */
+export async function keepBootstrap(
+  { table, directory }: { table: TableService; directory: Directory },
+  wallMs: number,
+): Promise<string[] | null> {
+  const rows = await readBootstrap(table, directory.identity.dataCentre);
+  if (rows === null) return null;
+  const write = planBootstrap(directory, { rows, wallMs });
+  if (write !== null) await table.transact([write]);
+  return [...rows.values()].map(({ address }) => address);
+}
--- /dev/null
+++ b/src/membership/merge_reports.ts
@@ -0,0 +1,39 @@
+import { compareReports } from "./compare_reports.ts";
+import { defend } from "./defend.ts";
+import type { Directory } from "./directory.ts";
+import type { Entry } from "./entry.ts";
+import { noteNews } from "./note_news.ts";
+import { putReport } from "./put_report.ts";
+import { watchSuspect } from "./watch_suspect.ts";
+import type { Report } from "./report.ts";
+
+/** What merging found: entries that were news, and addresses told out of date. */
+type Merged = { news: Entry[]; stale: string[] };
+
+/**
+ * Takes the maximum of each report and what is known; order does not matter.
+ * With `spread`, what was news is told to others.
+ */
+export function mergeReports(
+  directory: Directory,
+  reports: readonly Report[],
+  now: number,
+  { spread } = { spread: true },
+): Merged {
+  const merged: Merged = { news: [], stale: [] };
+  for (const report of reports) {
+    const { address } = report.entry;
+    const known = directory.members.get(address);
+    const order = known === undefined ? 1 : compareReports(report, known);
+    if (order < 0) merged.stale.push(address);
+    if (address === directory.identity.address) {
+      defend(directory, report, now);
+    } else if (order > 0) {
+      putReport(directory, report, now);
+      if (spread) noteNews(directory, address);
+      watchSuspect(directory, report, now);
+      merged.news.push(report.entry);
+    }
+  }
+  return merged;
+}
--- /dev/null
+++ b/src/membership/note_news.ts
@@ -0,0 +1,14 @@
+import type { Directory } from "./directory.ts";
+
+/**
+ * Sends per news item and daemon, times log2 of the members. Push-pull reaches
+ * nearly all with this; digests repair the rest.
+ */
+const SENDS_PER_LOG = 1;
+const MIN_SENDS = 3;
+
+/** Notes that others have to be told about a member. */
+export function noteNews(directory: Directory, address: string): void {
+  const sends = Math.ceil(SENDS_PER_LOG * Math.log2(directory.live + 1));
+  directory.news.set(address, Math.max(MIN_SENDS, sends));
+}
--- /dev/null
+++ b/src/membership/own_entry.ts
@@ -0,0 +1,18 @@
+import type { Directory } from "./directory.ts";
+import type { Entry } from "./entry.ts";
+
+/** Returns the part of the own entry that follows from phase and announcement. */
+export function ownEntry(
+  { announcement, phase }: Directory,
+): Pick<Entry, "state" | "server"> {
+  if (phase === "gone") return { state: "gone", server: null };
+  const leaving = phase === "leaving" || announcement?.state === "leaving";
+  return {
+    state: leaving ? "leaving" : "up",
+    server: announcement && {
+      service: announcement.service,
+      slots: announcement.slots,
+      warmupMs: announcement.warmupMs,
+    },
+  };
+}
--- /dev/null
+++ b/src/membership/read_bootstrap.ts
@@ -0,0 +1,28 @@
+import type { TableService } from "../platform/table_service.ts";
+import { BootstrapRow } from "./bootstrap_row.ts";
+import { BOOTSTRAP_SEATS } from "./bootstrap_seats.ts";
+
+/**
+ * Reads the bootstrap rows of a data centre by seat; a malformed one counts as
+ * absent. Returns null when the table service did not answer.
+ */
+export async function readBootstrap(
+  table: TableService,
+  dataCentre: string,
+): Promise<Map<number, BootstrapRow> | null> {
+  const found = await table.query({
+    partition: "bootstrap",
+    from: `${dataCentre}#`,
+    // "$" follows "#" in ASCII, so this ends the range of the data centre.
+    to: `${dataCentre}$`,
+    limit: BOOTSTRAP_SEATS,
+  });
+  if (found.kind !== "found") return null;
+  const rows = new Map<number, BootstrapRow>();
+  for (const { sort, attributes } of found.items) {
+    const row = BootstrapRow.safeParse(attributes);
+    const seat = Number(sort.slice(dataCentre.length + 1));
+    if (row.success && Number.isInteger(seat)) rows.set(seat, row.data);
+  }
+  return rows;
+}
--- /dev/null
+++ b/src/membership/tick.ts
@@ -0,0 +1,62 @@
+import { accuse } from "./accuse.ts";
+import { announce } from "./announce.ts";
+import type { Directory } from "./directory.ts";
+import { dropMember } from "./drop_member.ts";
+import { TOMBSTONE_MS } from "./tombstone_ms.ts";
+
+/** A backend server that sends no heartbeat for this time has departed. */
+const HEARTBEAT_TIMEOUT_MS = 3_000;
+/** A longer gap between ticks means that this process was paused. */
+const PAUSE_MS = 2_000;
+/**
+ * Entries that could not be compared with others for this long are discarded:
+ * the tombstones that would contradict them are about to expire elsewhere.
+ */
+const RETENTION_MS = TOMBSTONE_MS / 2;
+
+/** Runs the timeouts of the directory; call it about once a second. */
+export function tick(directory: Directory, now: number): void {
+  excusePause(directory, now);
+  const silentMs = now - directory.heartbeatAt;
+  if (directory.announcement !== null && silentMs > HEARTBEAT_TIMEOUT_MS) {
+    announce(directory, null, now);
+  }
+  for (const [address, deadline] of directory.suspects) {
+    if (deadline > now) continue;
+    directory.suspects.delete(address);
+    accuse(directory, { address, verdict: 2 }, now);
+  }
+  for (const [address, since] of directory.tombstones) {
+    if (now - since < TOMBSTONE_MS) break;
+    if (address === directory.identity.address) continue;
+    dropMember(directory, address, now);
+  }
+  discardOld(directory, now);
+}
+
+/** Heartbeats and refutations that a paused process missed may be queued. */
+function excusePause(directory: Directory, now: number): void {
+  const gapMs = now - directory.tickedAt;
+  directory.tickedAt = now;
+  if (gapMs <= PAUSE_MS) return;
+  directory.heartbeatAt += gapMs;
+  for (const [address, deadline] of directory.suspects) {
+    directory.suspects.set(address, deadline + gapMs);
+  }
+}
+
+function discardOld(directory: Directory, now: number): void {
+  const alone = now - directory.contactAt >= RETENTION_MS;
+  const old = [...directory.lost]
+    .filter(([, since]) => now - since >= RETENTION_MS)
+    .map(([dataCentre]) => dataCentre);
+  if (!alone && old.length === 0) return;
+  for (const [address, { entry }] of directory.members) {
+    if (address === directory.identity.address) continue;
+    if (alone || old.includes(entry.dataCentre)) {
+      dropMember(directory, address, now);
+    }
+  }
+  for (const dataCentre of old) directory.lost.delete(dataCentre);
+  directory.contactAt = now;
+}
--- /dev/null
+++ b/src/security/control_message.ts
@@ -0,0 +1,18 @@
+import type { Buffer } from "node:buffer";
+
+/** What the MAC of a control message covers. */
+export type ControlMessage = {
+  method: string;
+  /** Path with query, as on the request line. */
+  path: string;
+  /** Addresses of the sending and the receiving daemon, `host:port`. */
+  sender: string;
+  recipient: string;
+  /** Random id of the sending process. */
+  instance: string;
+  /** Number of the message within the sending process. */
+  counter: number;
+  /** Epoch of the recipient, see `createReplayWindow`. */
+  epoch: string;
+  body: Buffer;
+};
--- /dev/null
+++ b/src/security/create_guard.ts
@@ -0,0 +1,25 @@
+import { createReplayWindow } from "./create_replay_window.ts";
+import type { Guard } from "./guard.ts";
+
+/** Creates the guard of a daemon process. */
+export function createGuard(
+  { key, address, instance }: {
+    key: string;
+    address: string;
+    instance: string;
+  },
+): Guard {
+  return {
+    key,
+    address,
+    window: createReplayWindow(instance),
+    rejected: {
+      unsigned: 0,
+      forged: 0,
+      "wrong-epoch": 0,
+      replayed: 0,
+      oversized: 0,
+      malformed: 0,
+    },
+  };
+}
--- /dev/null
+++ b/src/security/guard.ts
@@ -0,0 +1,12 @@
+import type { Rejection } from "./rejection.ts";
+import type { ReplayWindow } from "./replay_window.ts";
+
+/** Checks the control messages that one daemon receives. */
+export type Guard = {
+  key: string;
+  /** Address of this daemon, `host:port`. */
+  address: string;
+  window: ReplayWindow;
+  /** Rejected messages by reason. */
+  rejected: Record<Rejection, number>;
+};
--- /dev/null
+++ b/src/security/learn_epoch.ts
@@ -0,0 +1,22 @@
+import type { Signer } from "./signer.ts";
+
+const MAX_EPOCHS = 16_384;
+const EPOCH = /^[\w.-]{1,48}$/;
+
+/**
+ * Remembers the epoch that a recipient named when it rejected a message.
+ * The rejection is not signed: a false epoch costs one more rejected message.
+ */
+export function learnEpoch(
+  { epochs }: Signer,
+  { recipient, epoch }: { recipient: string; epoch: string },
+): void {
+  if (!EPOCH.test(epoch)) return;
+  epochs.delete(recipient);
+  epochs.set(recipient, epoch);
+  if (epochs.size <= MAX_EPOCHS) return;
+  for (const oldest of epochs.keys()) {
+    epochs.delete(oldest);
+    break;
+  }
+}
