--- /dev/null
+++ b/src/membership/failure_test.ts
@@ -0,0 +1,122 @@
+import test from "ava";
+import { seededRandom } from "../core/seeded_random.ts";
+import { accuse } from "./accuse.ts";
+import { candidates } from "./candidates.ts";
+import { chooseHelpers } from "./choose_helpers.ts";
+import { choosePartner } from "./choose_partner.ts";
+import { createDirectory } from "./create_directory.ts";
+import { judgeProbe } from "./judge_probe.ts";
+import { merge } from "./merge.ts";
+import { noteContact } from "./note_contact.ts";
+import { tick } from "./tick.ts";
+
+function populated() {
+  const directory = createDirectory(
+    { address: "self:1", dataCentre: "suva", instance: "i" },
+    0,
+  );
+  const entries = ["suva", "nadi"].flatMap((dataCentre) =>
+    [1, 2, 3, 4].map((index) => ({
+      address: `${dataCentre}:${index}`,
+      dataCentre,
+      incarnation: 1,
+      sequence: 0,
+      state: "up" as const,
+      instance: "x",
+      server: { service: "bookings", slots: 30, warmupMs: 0 },
+    }))
+  );
+  merge(directory, entries, 0);
+  return directory;
+}
+
+function ticks(
+  directory: ReturnType<typeof populated>,
+  from: number,
+  to: number,
+) {
+  for (let now = from; now <= to; now += 1_000) tick(directory, now);
+}
+
+test("suspected member fails after the timeout, not before", (t) => {
+  const directory = populated();
+  accuse(directory, { address: "suva:1", verdict: 1 }, 0);
+  ticks(directory, 0, 3_000);
+  t.is(directory.members.get("suva:1")!.verdict, 1);
+  t.is(candidates(directory, "bookings").length, 8);
+  ticks(directory, 4_000, 8_000);
+  t.is(directory.members.get("suva:1")!.verdict, 2);
+  t.is(candidates(directory, "bookings").length, 7);
+});
+
+test("suspicion in another data centre is not timed out here", (t) => {
+  const directory = populated();
+  accuse(directory, { address: "nadi:1", verdict: 1 }, 0);
+  ticks(directory, 0, 60_000);
+  t.is(directory.members.get("nadi:1")!.verdict, 1);
+});
+
+test("pause of the observer does not expire suspicions", (t) => {
+  const directory = populated();
+  accuse(directory, { address: "suva:1", verdict: 1 }, 0);
+  tick(directory, 60_000);
+  t.is(directory.members.get("suva:1")!.verdict, 1);
+});
+
+test("daemon that is cut off suspects nobody", (t) => {
+  const directory = populated();
+  const target = "suva:1";
+  const judge = (findings: ("reached" | "unreached" | "silent")[]) =>
+    judgeProbe(directory, { target, findings }, 0);
+  t.is(judge(["silent", "silent"]), "undecided");
+  t.is(judge(["unreached", "reached"]), "alive");
+  t.is(directory.members.get(target)!.verdict, 0);
+  t.is(judge(["silent", "unreached"]), "suspect");
+  t.is(directory.members.get(target)!.verdict, 1);
+});
+
+test("helpers exclude the target and span data centres", (t) => {
+  const directory = populated();
+  for (let seed = 0; seed < 20; seed++) {
+    const helpers = chooseHelpers(directory, "suva:1", seededRandom(seed));
+    t.is(new Set(helpers).size, 3);
+    t.false(helpers.includes("suva:1"));
+    t.true(helpers.some((helper) => helper.startsWith("nadi")));
+  }
+});
+
+test("few dead daemons do not make a data centre unreachable", (t) => {
+  const directory = populated();
+  const failed = (address: string) =>
+    noteContact(directory, { address, dataCentre: "nadi", reached: false }, 9);
+  for (let tries = 0; tries < 5; tries++) failed("nadi:1");
+  failed("nadi:2");
+  t.is(candidates(directory, "bookings").length, 8);
+});
+
+test("unreachable data centre comes back whole and warm", (t) => {
+  const directory = populated();
+  const note = (address: string, reached: boolean) =>
+    noteContact(directory, { address, dataCentre: "nadi", reached }, 9);
+  for (const index of [1, 2, 3]) note(`nadi:${index}`, false);
+  t.is(candidates(directory, "bookings").length, 4);
+  t.is(directory.members.size, 9);
+  note("nadi:4", true);
+  t.is(candidates(directory, "bookings").length, 8);
+  t.true(candidates(directory, "bookings").every(({ since }) => since === 0));
+});
+
+test("unreachable and failed members are still tried", (t) => {
+  const directory = populated();
+  accuse(directory, { address: "suva:1", verdict: 2 }, 0);
+  for (const index of [1, 2, 3]) {
+    const address = `nadi:${index}`;
+    noteContact(directory, { address, dataCentre: "nadi", reached: false }, 9);
+  }
+  const random = seededRandom(1);
+  const partners = new Set<string | null>();
+  for (let tries = 0; tries < 500; tries++) {
+    partners.add(choosePartner(directory, random));
+  }
+  t.is(partners.size, 8);
+});
--- a/src/membership/keep_bootstrap.ts
+++ b/src/membership/keep_bootstrap.ts
@@ -12,10 +12,11 @@
 export async function keepBootstrap(
   { table, directory }: { table: TableService; directory: Directory },
   wallMs: number,
+  now: number,
 ): Promise<string[] | null> {
   const rows = await readBootstrap(table, directory.identity.dataCentre);
   if (rows === null) return null;
-  const write = planBootstrap(directory, { rows, wallMs });
+  const write = planBootstrap(directory, { rows, wallMs }, now);
   if (write !== null) await table.transact([write]);
   return [...rows.values()].map(({ address }) => address);
 }
--- a/src/membership/plan_bootstrap.ts
+++ b/src/membership/plan_bootstrap.ts
@@ -5,6 +5,11 @@
 import type { Directory } from "./directory.ts";
 import { peersOf } from "./peers_of.ts";
 
+/**
+ * How long a daemon that reached nobody tries the listed daemons before it
+ * takes a seat, in ms; otherwise rows of a replaced data centre would stay.
+ */
+const ALONE_MS = 30_000;
 /** A row older than this is written again, so that readers can tell it is kept. */
 const MAX_AGE_MS = 3_600_000;
 
@@ -18,16 +23,19 @@
  * Returns the write of a bootstrap row that is this daemon's to do, or null.
  * The members of a data centre that come first by the hash of their address
  * hold one seat each, so that few daemons write. A daemon that knows nobody
- * else holds no seat while others are listed, since it has not joined yet.
+ * holds no seat while it still tries the listed ones, see `ALONE_MS`.
  */
 export function planBootstrap(
   directory: Directory,
   { rows, wallMs }: Found,
+  now: number,
 ): Write | null {
   const { address, dataCentre } = directory.identity;
-  const peers = peersOf(directory).get(dataCentre) ?? [];
+  const known = peersOf(directory);
+  const peers = known.get(dataCentre) ?? [];
   const listed = [...rows.values()].some((row) => row.address !== address);
-  if (peers.length === 0 && listed) return null;
+  const joining = known.size === 0 && now - directory.contactAt < ALONE_MS;
+  if (joining && listed) return null;
   const seat = [...peers, address].sort((one, two) =>
     hash(one) - hash(two) || (one < two ? -1 : 1)
   ).indexOf(address);
