--- /dev/null
+++ b/src/platform/credentials.ts
@@ -0,0 +1,6 @@
+/** Identity towards the platform, as in the `platform` section of the settings. */
+export type Credentials = {
+  accessKey: string;
+  secretKey: string;
+  region: string;
+};
--- /dev/null
+++ b/src/platform/encode_attributes.ts
@@ -0,0 +1,13 @@
+import type { Attributes } from "./attributes.ts";
+
+/** Returns the DynamoDB JSON of named values. */
+export function encodeAttributes(
+  values: Record<string, string | number>,
+): Attributes {
+  return Object.fromEntries(
+    Object.entries(values).map(([name, value]) => [
+      name,
+      typeof value === "string" ? { S: value } : { N: String(value) },
+    ]),
+  );
+}
--- /dev/null
+++ b/src/platform/reply.ts
@@ -0,0 +1,8 @@
+/**
+ * What came of one HTTP exchange. `not-sent`: no byte of the request was
+ * written. `no-response`: some may have been, and no complete response came.
+ */
+export type Reply =
+  | { kind: "response"; status: number; body: Buffer }
+  | { kind: "not-sent"; message: string }
+  | { kind: "no-response"; message: string };
--- /dev/null
+++ b/src/platform/write_outcome.ts
@@ -0,0 +1,47 @@
+import { parseJson } from "./parse_json.ts";
+import type { Reply } from "./reply.ts";
+import { TableFault } from "./table_fault.ts";
+
+type WriteOutcome =
+  | { kind: "written" }
+  | { kind: "conflict" }
+  | { kind: "unavailable"; message: string }
+  | { kind: "unknown"; message: string };
+
+/** Faults that the protocol documents as raised before anything is written. */
+const NOT_WRITTEN = new Set([
+  "AccessDeniedException",
+  "IncompleteSignatureException",
+  "MissingAuthenticationTokenException",
+  "ProvisionedThroughputExceededException",
+  "RequestLimitExceeded",
+  "ResourceNotFoundException",
+  "ServiceUnavailable",
+  "ThrottlingException",
+  "TransactionCanceledException",
+  "TransactionInProgressException",
+  "UnrecognizedClientException",
+  "ValidationException",
+]);
+
+/** Interprets the reply to a transaction. Whatever is not documented as not written is `unknown`. */
+export function writeOutcome(reply: Reply): WriteOutcome {
+  if (reply.kind === "not-sent") {
+    return { kind: "unavailable", message: reply.message };
+  }
+  if (reply.kind === "no-response") {
+    return { kind: "unknown", message: reply.message };
+  }
+  if (reply.status === 200) return { kind: "written" };
+  const fault = parseJson(TableFault, reply.body);
+  const message = `The table service answered ${reply.status}`;
+  if (!fault.ok) return { kind: "unknown", message };
+  const { __type: type, CancellationReasons: reasons } = fault.value;
+  if (reasons.some(({ Code }) => Code === "ConditionalCheckFailed")) {
+    return { kind: "conflict" };
+  }
+  return {
+    kind: NOT_WRITTEN.has(type) ? "unavailable" : "unknown",
+    message: `${message} ${type}`,
+  };
+}
