Add stand-ins of the table service and the object store

Cause: tests, bench and demo need a platform that fails on request. Change: in-memory stand-ins with a start function and a main file each. They implement the subset that the clients use, reject any other field or expression, and take `POST /-/control` (up, down, slow, lose-response, stale, delayMs, count, writesPerSecond). The SigV4 header must be present with the right access key; its signature is not checked.

--- /dev/null
+++ b/standin/standin.ts
@@ -0,0 +1,2 @@
+/** A running stand-in. */
+export type Standin = { origin: string; close(): Promise<void> };
--- /dev/null
+++ b/standin/table_service_main.ts
@@ -0,0 +1,4 @@
+import { runStandin } from "./run_standin.ts";
+import { startTableService } from "./table_service.ts";
+
+await runStandin("table-service", startTableService);
--- /dev/null
+++ b/standin/transact_rows.ts
@@ -0,0 +1,46 @@
+import { conditionHolds } from "./condition_holds.ts";
+import type { Operation } from "./operation.ts";
+import { partitionRows } from "./partition_rows.ts";
+import type { Rows } from "./rows.ts";
+
+type Result =
+  | { kind: "written" }
+  | { kind: "cancelled"; reasons: { Code: string }[] }
+  | { kind: "invalid"; message: string };
+
+const MAX_ROW_BYTES = 400 * 1024;
+
+/** Applies all writes of a transaction, or none. */
+export function transactRows(
+  rows: Rows,
+  { TransactItems: items }: Operation["TransactWriteItems"],
+): Result {
+  const targets = items.map(({ Put: put }) => {
+    const { partition, sort } = put.Item;
+    const place = { table: put.TableName, partition: partition.S };
+    const name = JSON.stringify([place, sort.S]);
+    return { put, place, sort: sort.S, name };
+  });
+  if (new Set(targets.map(({ name }) => name)).size < targets.length) {
+    return { kind: "invalid", message: "Two writes to one row" };
+  }
+  if (items.some((item) => JSON.stringify(item).length > MAX_ROW_BYTES)) {
+    return { kind: "invalid", message: "The row is too large" };
+  }
+  const held = targets.map(({ put, place, sort }) =>
+    conditionHolds(put, partitionRows(rows, place).get(sort))
+  );
+  if (held.includes(null)) {
+    return { kind: "invalid", message: "The condition is not supported" };
+  }
+  if (held.includes(false)) {
+    const reasons = held.map((holds) => ({
+      Code: holds ? "None" : "ConditionalCheckFailed",
+    }));
+    return { kind: "cancelled", reasons };
+  }
+  for (const { put, place, sort } of targets) {
+    partitionRows(rows, place).set(sort, put.Item);
+  }
+  return { kind: "written" };
+}
