--- /dev/null
+++ b/src/retries/resends.ts
@@ -0,0 +1,15 @@
+/** Request ids seen lately and the resend bucket of each caller. */
+export type Resends = {
+  /** By caller, least recently active first. */
+  callers: Map<string, Caller>;
+  /** Request ids remembered over all callers. */
+  size: number;
+};
+
+type Caller = {
+  /** Time in ms a request was last sent, by hash of its id, oldest first. */
+  sentAt: Map<number, number>;
+  /** Resends the caller may still make, with fractions. */
+  tokens: number;
+  refilledAt: number;
+};
--- /dev/null
+++ b/src/retries/splits.ts
@@ -0,0 +1,10 @@
+import type { Split } from "./split.ts";
+
+/** Retries given to a child call out of those held, by policy. */
+export const splits: Record<Split, (held: number) => number> = {
+  "half": (held) => Math.floor(held / 2),
+  "all": (held) => held,
+  /** Gives up to three retries away whole, so deep calls still receive some. */
+  "keep-quarter": (held) => Math.ceil(0.75 * held),
+  "keep-one": (held) => Math.max(0, held - 1),
+};
--- /dev/null
+++ b/src/retries/sweep_resends.ts
@@ -0,0 +1,16 @@
+import type { Resends } from "./resends.ts";
+import { resendLimits as limits } from "./resend_limits.ts";
+
+/** Forgets old request ids, and callers without any whose bucket is full again. */
+export function sweepResends(resends: Resends, now: number): void {
+  for (const [name, caller] of resends.callers) {
+    for (const [id, sentAt] of caller.sentAt) {
+      if (now - sentAt < limits.memoryMs) break;
+      caller.sentAt.delete(id);
+      resends.size -= 1;
+    }
+    const earned = (now - caller.refilledAt) * limits.tokensPerMs;
+    const full = caller.tokens + earned >= limits.burst;
+    if (full && caller.sentAt.size === 0) resends.callers.delete(name);
+  }
+}
