--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -154,7 +154,7 @@
     host: SERVER,
     args: [
       "--import=tsx",
-      "standin/backend_server_main.ts",
+      "standin/server/main.ts",
       JSON.stringify(settings),
     ],
   });
--- a/deployments/deployment.ts
+++ b/deployments/deployment.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { RequestRule } from "../src/rules/request_rule.ts";
-import { Operation } from "../standin/operation.ts";
+import { Operation } from "../standin/server/operation.ts";
 
 const ServiceOperation = Operation.extend({
   name: RequestRule.shape.name,
--- a/standin/backend_server.ts
+++ b/standin/server/backend_server.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import { Pool } from "undici";
-import { parse } from "../src/core/parse.ts";
+import { parse } from "../../src/core/parse.ts";
 import { Control } from "./control.ts";
 import { runOperation } from "./run_operation.ts";
 import type { ServerSettings } from "./server_settings.ts";
