Add counters and histograms with a fixed memory bound

Cause: goodput, shedding and latencies have to be seen on each daemon, and some label values come from callers. Series are found by a map per label; past 2048 counters or 128 histograms, and for values over 128 characters, measurements share one overflow series per metric. Percentiles are read in one pass and capped at the recorded maximum.

--- /dev/null
+++ b/src/metrics/count.ts
@@ -0,0 +1,24 @@
+import { findSeries } from "./find_series.ts";
+import type { Labels } from "./labels.ts";
+import type { Metrics } from "./metrics.ts";
+import { seriesOf } from "./series_of.ts";
+
+/** Adds to a counter. Label names are those of the metric's first count. */
+export function count(
+  metrics: Metrics,
+  name: string,
+  labels: Labels,
+  by = 1,
+): void {
+  const families = metrics.counters;
+  const family = families.get(name);
+  const known = family === undefined ? undefined : findSeries(family, labels);
+  const counter = known ?? seriesOf(metrics, {
+    kind: "counters",
+    families,
+    name,
+    labels,
+    create: () => ({ value: 0 }),
+  });
+  counter.value += by;
+}
--- /dev/null
+++ b/src/metrics/labels.ts
@@ -0,0 +1,2 @@
+/** Label names and values of one measurement. */
+export type Labels = Readonly<Record<string, string>>;
--- /dev/null
+++ b/src/metrics/metrics_test.ts
@@ -0,0 +1,79 @@
+import test from "ava";
+import fc from "fast-check";
+import { Float64Histogram } from "hdr-histogram-js";
+import { count } from "./count.ts";
+import { createMetrics } from "./create_metrics.ts";
+import { formatPrometheus } from "./format_prometheus.ts";
+import { quantiles } from "./quantiles.ts";
+import { record } from "./record.ts";
+import { takeSnapshot } from "./take_snapshot.ts";
+
+test("label order doesn't split a series", (t) => {
+  const metrics = createMetrics();
+  count(metrics, "calls", { service: "bookings", class: "critical" });
+  count(metrics, "calls", { class: "critical", service: "bookings" }, 2);
+  t.deepEqual(takeSnapshot(metrics).counters, [{
+    name: "calls",
+    labels: { class: "critical", service: "bookings" },
+    value: 3,
+  }]);
+});
+
+test("no measurement is lost and no series is added past the cap", (t) => {
+  const label = fc.record({ a: fc.string(), b: fc.constantFrom("x", "y") });
+  fc.assert(fc.property(fc.array(label), (all) => {
+    const metrics = createMetrics({ counterSeries: 3, histogramSeries: 2 });
+    for (const labels of all) {
+      count(metrics, "calls", labels);
+      record(metrics, "hop_ms", labels, 1);
+    }
+    const { counters, histograms } = takeSnapshot(metrics);
+    const sum = (counts: number[]) => counts.reduce((x, y) => x + y, 0);
+    t.is(sum(counters.map((each) => each.value)), all.length);
+    t.is(sum(histograms.map((each) => each.count)), all.length);
+    t.true(counters.length <= 4);
+    t.true(histograms.length <= 3);
+  }));
+});
+
+test("times below a millisecond and out of range are kept", (t) => {
+  const metrics = createMetrics();
+  for (const ms of [0.41, -1, NaN, Infinity, 1e12]) {
+    record(metrics, "hop_ms", {}, ms);
+  }
+  const [hop] = takeSnapshot(metrics).histograms;
+  t.is(hop!.count, 5);
+  t.true(Number.isFinite(hop!.sumMs));
+  // The middle one of 0, 0, 0.41 and two of ten minutes.
+  t.true(Math.abs(hop!.p50Ms - 0.41) < 0.01);
+  t.is(hop!.p90Ms, hop!.maxMs);
+});
+
+test("percentiles from one pass are those of the library", (t) => {
+  const values = fc.array(fc.integer({ min: 0, max: 600_000_000 }));
+  fc.assert(fc.property(values, (all) => {
+    const histogram = new Float64Histogram(1, 600_000_000, 2);
+    for (const value of all) histogram.recordValue(value);
+    const percentiles = [1, 50, 90, 99, 99.9, 100];
+    t.deepEqual(
+      quantiles(histogram, percentiles),
+      percentiles.map((each) => histogram.getValueAtPercentile(each)),
+    );
+  }));
+});
+
+test("overlong label values don't occupy memory", (t) => {
+  const metrics = createMetrics();
+  count(metrics, "calls", { service: "x".repeat(10_000) });
+  t.deepEqual(takeSnapshot(metrics).counters[0]!.labels, { overflow: "true" });
+});
+
+test("label text can't forge a line of the Prometheus exposition", (t) => {
+  const metrics = createMetrics();
+  count(metrics, "calls", { service: 'a"\n\\b' });
+  record(metrics, "hop_ms", { class: "normal" }, 2);
+  const text = formatPrometheus(takeSnapshot(metrics));
+  t.true(text.includes('nutmegmoor_calls_total{service="a\\"\\n\\\\b"} 1\n'));
+  t.true(text.includes('nutmegmoor_hop_seconds_count{class="normal"} 1\n'));
+  t.true(text.includes("# TYPE nutmegmoor_hop_seconds summary\n"));
+});
--- /dev/null
+++ b/src/metrics/record.ts
@@ -0,0 +1,39 @@
+import { Float64Histogram } from "hdr-histogram-js";
+import { findSeries } from "./find_series.ts";
+import type { Labels } from "./labels.ts";
+import type { Metrics } from "./metrics.ts";
+import { seriesOf } from "./series_of.ts";
+import { US_PER_MS } from "./us_per_ms.ts";
+
+// Ten minutes, the longest deadline; longer times count as that.
+const MAX_US = 600_000_000;
+const SIGNIFICANT_DIGITS = 2;
+
+/** Records a duration in ms, resolved to 1 us and two significant digits. */
+export function record(
+  metrics: Metrics,
+  name: string,
+  labels: Labels,
+  value: number,
+): void {
+  const families = metrics.histograms;
+  const family = families.get(name);
+  const known = family === undefined ? undefined : findSeries(family, labels);
+  const series = known ?? seriesOf(metrics, {
+    kind: "histograms",
+    families,
+    name,
+    labels,
+    create,
+  });
+  // A difference of times can be negative or NaN; neither has a bucket.
+  const us = value > 0 ? Math.min(Math.round(value * US_PER_MS), MAX_US) : 0;
+  series.histogram.recordValue(us);
+  series.sumMs += us / US_PER_MS;
+}
+
+function create() {
+  // Counts of 32 bits would overflow within weeks on a busy daemon.
+  const histogram = new Float64Histogram(1, MAX_US, SIGNIFICANT_DIGITS);
+  return { histogram, sumMs: 0 };
+}
