Add the command line

Cause: operators need one program for the daemon, for questions to a running daemon and for rules. Commands return their status and write through an environment, so that tests start no process.

--- /dev/null
+++ b/src/cli/argument.ts
@@ -0,0 +1,31 @@
+import { z } from "zod";
+
+const LISTENER = /^(\[[0-9a-f:.]+\]|[\w.-]+):(\d{1,5})$/;
+const HIGHEST_PORT = 65_535;
+
+function text(expected: string, holds: (text: string) => boolean) {
+  return z.string({ error: expected }).refine(holds, { error: expected });
+}
+
+function isListener(value: string): boolean {
+  const port = Number(LISTENER.exec(value)?.[2] ?? 0);
+  return port > 0 && port <= HIGHEST_PORT;
+}
+
+const listener = text("one HOST:PORT such as 127.0.0.1:7002", isListener);
+
+/** Schemas of single arguments; each error is the expectation. */
+export const argument = {
+  listener,
+  listeners: z.array(listener),
+  file: text("the path of one file", (value) => value !== ""),
+  name: text(
+    "one name of lower-case letters, digits and hyphens",
+    (value) => /^[a-z][a-z0-9-]{0,63}$/.test(value),
+  ),
+  changeId: text(
+    "one change id of letters, digits, dots and hyphens",
+    (value) => /^[\w.-]{1,128}$/.test(value),
+  ),
+  flag: z.boolean({ error: "the option once, without a value" }),
+};
--- /dev/null
+++ b/src/cli/ask_daemon.ts
@@ -0,0 +1,47 @@
+import type { Answer } from "./answer.ts";
+import type { DaemonRequest } from "./daemon_request.ts";
+
+const CONNECT_TIMEOUT_MS = 3_000;
+// A daemon that asks all members for their rules needs several round trips.
+const RESPONSE_TIMEOUT_MS = 30_000;
+// The directory of 14,000 daemons takes about 4 MB of JSON.
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+const NOT_SENT = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EADDRNOTAVAIL",
+  "ENOTFOUND",
+  "EAI_AGAIN",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Sends one request on a connection of its own and reads the whole response. */
+export async function askDaemon(request: DaemonRequest): Promise<Answer> {
+  const { Client } = await import("undici");
+  const client = new Client(`http://${request.daemon}`, {
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    headersTimeout: RESPONSE_TIMEOUT_MS,
+    bodyTimeout: RESPONSE_TIMEOUT_MS,
+    maxResponseSize: MAX_RESPONSE_BYTES,
+  });
+  try {
+    const response = await client.request({
+      method: request.method,
+      path: request.path,
+      headers: {
+        accept: request.accept ?? "application/json",
+        "content-type": "application/json",
+      },
+      body: request.body === undefined ? null : JSON.stringify(request.body),
+    });
+    const text = await response.body.text();
+    return { kind: "answered", status: response.statusCode, text };
+  } catch (error) {
+    const { code, message } = error as NodeJS.ErrnoException;
+    const kind = NOT_SENT.has(code ?? "") ? "unreachable" : "unknown";
+    return { kind, message: message === "" ? code ?? "no message" : message };
+  } finally {
+    await client.destroy();
+  }
+}
--- /dev/null
+++ b/src/cli/commands/drain.ts
@@ -0,0 +1,19 @@
+import { z } from "zod";
+import { argument } from "../argument.ts";
+import { defineCommand } from "../define_command.ts";
+import { option } from "../option.ts";
+import { showFields } from "../show_fields.ts";
+
+/** Starts a planned shutdown. */
+export const drain = defineCommand({
+  usage: "drain",
+  summary: "Shut a daemon down after its in-flight requests have finished",
+  options: { daemon: option.daemon, json: option.json },
+  examples: [["$0 drain --daemon 127.0.1.1:7002", ""]],
+  schema: z.object({ daemon: argument.listener, json: argument.flag }),
+  run: ({ daemon, json }, environment) =>
+    showFields(
+      { daemon, json, method: "POST", path: "/-/drain" },
+      environment,
+    ),
+});
--- /dev/null
+++ b/src/cli/commands/members.ts
@@ -0,0 +1,46 @@
+import { z } from "zod";
+import { argument } from "../argument.ts";
+import { defineCommand } from "../define_command.ts";
+import { ExitStatus } from "../exit_status.ts";
+import { fetchValue } from "../fetch_value.ts";
+import { formatTable } from "../format_table.ts";
+import { MemberList } from "../member_list.ts";
+import { option } from "../option.ts";
+
+const HEADER = ["ADDRESS", "DATA CENTRE", "STATE", "SERVICE", "SLOTS"];
+
+/** Lists the daemons in the directory of one daemon. */
+export const members = defineCommand({
+  usage: "members",
+  summary: "List the daemons that a daemon knows",
+  options: { daemon: option.daemon, json: option.json },
+  examples: [["$0 members --json", ""]],
+  schema: z.object({ daemon: argument.listener, json: argument.flag }),
+  async run({ daemon, json }, { out, err }) {
+    const fetched = await fetchValue(MemberList, {
+      daemon,
+      method: "GET",
+      path: "/-/members",
+    });
+    if (!fetched.ok) {
+      err(`${fetched.message}\n`);
+      return fetched.status;
+    }
+    out(
+      json
+        ? `${JSON.stringify(fetched.value)}\n`
+        : formatTable([HEADER, ...fetched.value.members.map(row)]),
+    );
+    return ExitStatus.ok;
+  },
+});
+
+function row(member: MemberList["members"][number]): string[] {
+  return [
+    member.address,
+    member.dataCentre,
+    member.reachable === false ? `${member.state}, unreachable` : member.state,
+    member.server?.service ?? "",
+    String(member.server?.slots ?? ""),
+  ];
+}
--- /dev/null
+++ b/src/cli/commands/rules/approve.ts
@@ -0,0 +1,46 @@
+import { z } from "zod";
+import { argument } from "../../argument.ts";
+import { askDaemon } from "../../ask_daemon.ts";
+import { defineCommand } from "../../define_command.ts";
+import { ExitStatus } from "../../exit_status.ts";
+import { option } from "../../option.ts";
+import { readText } from "../../read_text.ts";
+import { reportSubmit } from "../../report_submit.ts";
+
+/** Signs a change that binds several departments. */
+export const approve = defineCommand({
+  usage: "approve <change>",
+  summary: "Sign a change that waits for your department",
+  positionals: { change: "Change id that rules submit printed" },
+  options: {
+    department: option.department,
+    key: option.key,
+    daemon: option.daemon,
+    json: option.json,
+  },
+  examples: [[
+    "$0 rules approve 5b1c --department transport --key transport.pem",
+    "",
+  ]],
+  schema: z.object({
+    change: argument.changeId,
+    department: argument.name,
+    key: argument.file,
+    daemon: argument.listener,
+    json: argument.flag,
+  }),
+  async run({ change, department, key, daemon, json }, environment) {
+    const privateKey = readText(key);
+    if (!privateKey.ok) {
+      environment.err(`${privateKey.message}\n`);
+      return ExitStatus.usage;
+    }
+    const answer = await environment.rules.approve({
+      changeId: change,
+      department,
+      privateKey: privateKey.text,
+      ask: (request) => askDaemon({ ...request, daemon }),
+    });
+    return reportSubmit(answer, { file: change, json }, environment);
+  },
+});
--- /dev/null
+++ b/src/cli/commands/rules/keygen.ts
@@ -0,0 +1,44 @@
+import { generateKeyPairSync } from "node:crypto";
+import { writeFileSync } from "node:fs";
+import { z } from "zod";
+import { argument } from "../../argument.ts";
+import { defineCommand } from "../../define_command.ts";
+import { ExitStatus } from "../../exit_status.ts";
+import { option } from "../../option.ts";
+
+const OWNER_ONLY = 0o600;
+
+/** Makes a department key; the private half is never printed. */
+export const keygen = defineCommand({
+  usage: "keygen",
+  summary: "Make a department key and print the line for the settings",
+  options: {
+    out: {
+      type: "string",
+      requiresArg: true,
+      describe: "New file for the private key (PKCS#8 PEM, mode 0600)",
+    },
+    json: option.json,
+  },
+  examples: [["$0 rules keygen --out bakery.pem", ""]],
+  schema: z.object({ out: argument.file, json: argument.flag }),
+  run({ out: file, json }, { out, err }) {
+    const { publicKey, privateKey } = generateKeyPairSync("ed25519");
+    const pem = privateKey.export({ type: "pkcs8", format: "pem" });
+    try {
+      writeFileSync(file, pem, { mode: OWNER_ONLY, flag: "wx" });
+    } catch (error) {
+      const { code } = error as NodeJS.ErrnoException;
+      err(`Argument --out: found ${code}, expected the path of a new file\n`);
+      return Promise.resolve(ExitStatus.usage);
+    }
+    const key = publicKey.export({ type: "spki", format: "der" })
+      .toString("base64");
+    out(
+      json
+        ? `${JSON.stringify({ publicKey: key, file })}\n`
+        : `public-key = ${key}\n`,
+    );
+    return Promise.resolve(ExitStatus.ok);
+  },
+});
--- /dev/null
+++ b/src/cli/commands/rules/submit.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+import { argument } from "../../argument.ts";
+import { askDaemon } from "../../ask_daemon.ts";
+import { defineCommand } from "../../define_command.ts";
+import { ExitStatus } from "../../exit_status.ts";
+import { option } from "../../option.ts";
+import { readText } from "../../read_text.ts";
+import { reportSubmit } from "../../report_submit.ts";
+
+/** Signs a configuration and submits it. */
+export const submit = defineCommand({
+  usage: "submit <file>",
+  summary: "Sign a configuration and submit it",
+  positionals: { file: "Configuration as the builder prints it, or -" },
+  options: {
+    department: option.department,
+    key: option.key,
+    change: {
+      type: "string",
+      requiresArg: true,
+      describe: "Change id of an earlier try whose outcome is not known",
+    },
+    daemon: option.daemon,
+    json: option.json,
+  },
+  examples: [[
+    "$0 rules submit rules.json --department bakery --key bakery.pem",
+    "",
+  ]],
+  schema: z.object({
+    file: argument.file,
+    department: argument.name,
+    key: argument.file,
+    change: argument.changeId.optional(),
+    daemon: argument.listener,
+    json: argument.flag,
+  }),
+  async run({ file, department, key, change, daemon, json }, environment) {
+    const [text, privateKey] = [readText(file), readText(key)];
+    if (!text.ok || !privateKey.ok) {
+      for (const read of [text, privateKey]) {
+        if (!read.ok) environment.err(`${read.message}\n`);
+      }
+      return ExitStatus.usage;
+    }
+    const answer = await environment.rules.submit({
+      text: text.text,
+      department,
+      privateKey: privateKey.text,
+      changeId: change ?? null,
+      ask: (request) => askDaemon({ ...request, daemon }),
+    });
+    return reportSubmit(answer, { file, json }, environment);
+  },
+});
--- /dev/null
+++ b/src/cli/create_environment.ts
@@ -0,0 +1,19 @@
+import process from "node:process";
+import { absentRules } from "./absent_rules.ts";
+import type { Environment } from "./environment.ts";
+
+/** Returns the environment of a real process. */
+export function createEnvironment(): Environment {
+  // A reader such as head closes the pipe early; that is no failure.
+  process.stdout.on("error", () => process.exit());
+  return {
+    out: (text) => process.stdout.write(text),
+    err: (text) => process.stderr.write(text),
+    rules: absentRules,
+    // Other commands start faster without the modules of the daemon.
+    startDaemon: async (settings) => {
+      const { startDaemon } = await import("../daemon/start_daemon.ts");
+      return startDaemon(settings);
+    },
+  };
+}
--- /dev/null
+++ b/src/cli/flatten.ts
@@ -0,0 +1,9 @@
+/** Lists the fields of nested JSON as rows of dotted name and value. */
+export function flatten(value: unknown, name = ""): string[][] {
+  if (value === null || typeof value !== "object") {
+    return [[name, String(value)]];
+  }
+  return Object.entries(value).flatMap(([key, field]) =>
+    flatten(field, name === "" ? key : `${name}.${key}`)
+  );
+}
--- /dev/null
+++ b/src/cli/report_verify.ts
@@ -0,0 +1,46 @@
+import type { Environment } from "./environment.ts";
+import { ExitStatus } from "./exit_status.ts";
+import { formatTable } from "./format_table.ts";
+import type { VerifyAnswer } from "./verify_answer.ts";
+
+type Compared = Extract<VerifyAnswer, { kind: "compared" }>;
+type Failures = { address: string; message: string; status: number }[];
+
+const HEADER = ["DAEMON", "RESULT", "SECTION", "AGREED", "IN EFFECT"];
+
+/**
+ * Prints a comparison; returns the exit status. A difference outweighs daemons
+ * without an answer, and without all answers nothing is confirmed.
+ */
+export function reportVerify(
+  { daemons }: Compared,
+  { failures, json }: { failures: Failures; json: boolean },
+  { out }: Environment,
+): number {
+  const differs = daemons.some(({ differences }) => differences.length > 0);
+  const rows = daemons.flatMap(rowsOf);
+  for (const { address } of failures) rows.push([address, "no answer"]);
+  const unanswered = failures.map(({ address, message }) => ({
+    address,
+    message,
+  }));
+  const same = !differs && failures.length === 0;
+  out(
+    json
+      ? `${JSON.stringify({ same, daemons, unanswered })}\n`
+      : formatTable([HEADER, ...rows]),
+  );
+  if (differs) return ExitStatus.negative;
+  return failures[0]?.status ?? ExitStatus.ok;
+}
+
+function rowsOf({ address, differences }: Compared["daemons"][number]) {
+  if (differences.length === 0) return [[address, "same"]];
+  return differences.map(({ section, agreed, inEffect }) => [
+    address,
+    "differs",
+    section,
+    agreed,
+    inEffect,
+  ]);
+}
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,14 +1,94 @@
-import yargs from "yargs";
+import yargs, { type Argv } from "yargs";
 import manifest from "../../package.json" with { type: "json" };
+import type { Command } from "./command.ts";
+import { commandTable } from "./command_table.ts";
+import { createEnvironment } from "./create_environment.ts";
+import type { Environment } from "./environment.ts";
+import { explainUsage } from "./explain_usage.ts";
+import { ExitStatus } from "./exit_status.ts";
+
+const NO_COMMAND = "Argument <command>: found nothing, expected a command";
+
+const EPILOGUE = `Exit statuses:
+  0 ok, 1 negative answer, 2 usage or settings error, 3 daemon unreachable,
+  4 conflict, 5 outcome not known, 6 not accepted, 7 unreadable answer, 8 failed`;
 
 /** Runs the command line; returns the exit status. */
-export async function run(args: string[]): Promise<number> {
-  const status = 0;
-  await yargs(args)
-    .scriptName("nutmegmoor")
-    .version(manifest.version)
-    .command("daemon", "Run the daemon of a backend server VM")
-    .strict()
-    .parseAsync();
+export async function run(
+  args: string[],
+  environment: Environment = createEnvironment(),
+): Promise<number> {
+  let status: number = ExitStatus.ok;
+  let selected: Command | null = null;
+  const select = (command: Command) => {
+    selected = command;
+  };
+  const execute = async (command: Command, input: Record<string, unknown>) => {
+    status = await runSafely(command, input, environment);
+  };
+  const parser = createParser();
+  for (const entry of commandTable) {
+    if ("run" in entry) register(parser, { command: entry, select, execute });
+    else {
+      parser.command(entry.name, entry.summary, (group) => {
+        for (const command of entry.commands) {
+          register(group, { command, select, execute });
+        }
+        return group.demandCommand(1, NO_COMMAND);
+      });
+    }
+  }
+  try {
+    await parser.parseAsync(args, {}, (_error, _argv, output) => {
+      if (output !== "") environment.out(`${output}\n`);
+    });
+  } catch (error) {
+    const { message } = error as Error;
+    environment.err(`${explainUsage(message, selected)}\n`);
+    return ExitStatus.usage;
+  }
   return status;
 }
+
+/** Lines aren't wrapped, since yargs would break them within words. */
+function createParser(): Argv {
+  return yargs().scriptName("nutmegmoor").locale("en").wrap(null)
+    .version(manifest.version).strict().exitProcess(false).fail(false)
+    .demandCommand(1, NO_COMMAND).epilogue(EPILOGUE);
+}
+
+async function runSafely(
+  command: Command,
+  input: Record<string, unknown>,
+  environment: Environment,
+): Promise<number> {
+  try {
+    return await command.run(input, environment);
+  } catch (error) {
+    // Without this, Node's status 1 would read as a negative answer.
+    environment.err(`Internal failure: ${(error as Error).stack}\n`);
+    return ExitStatus.failed;
+  }
+}
+
+function register(
+  parser: Argv,
+  { command, select, execute }: {
+    command: Command;
+    select(command: Command): void;
+    execute(command: Command, input: Record<string, unknown>): Promise<void>;
+  },
+): void {
+  parser.command(
+    command.usage,
+    command.summary,
+    (builder) => {
+      select(command);
+      for (const [name, describe] of Object.entries(command.positionals)) {
+        builder.positional(name, { type: "string", describe });
+      }
+      return builder.options(command.options).example(command.examples);
+    },
+    (input) => execute(command, input),
+  );
+}
--- /dev/null
+++ b/src/cli/run_test.ts
@@ -0,0 +1,212 @@
+import test from "ava";
+import {
+  existsSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  statSync,
+} from "node:fs";
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { absentRules } from "./absent_rules.ts";
+import type { RulesHandlers } from "./rules_handlers.ts";
+import { run } from "./run.ts";
+
+const SAMPLE = "settings/viti-levu.ini";
+
+async function runCommand(args: string[], rules: Partial<RulesHandlers> = {}) {
+  let [out, err] = ["", ""];
+  const status = await run(args, {
+    out: (text) => out += text,
+    err: (text) => err += text,
+    rules: { ...absentRules, ...rules },
+    startDaemon: () => Promise.reject(new Error("port in use")),
+  });
+  return { status, out, err };
+}
+
+async function listen(listener: RequestListener) {
+  const server = createServer(listener);
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  return { daemon: `127.0.0.1:${port}`, close: () => server.close() };
+}
+
+function answerJson(bodies: Record<string, unknown>): RequestListener {
+  return (request, response) => {
+    const body = bodies[`${request.method} ${request.url}`];
+    response.writeHead(body === undefined ? 404 : 200).end(
+      JSON.stringify(body),
+    );
+  };
+}
+
+test("wrong arguments are named and answered with status 2", async (t) => {
+  const cases: [string[], RegExp][] = [
+    [[], /<command>: found nothing/],
+    [["nope"], /Argument nope: found an unknown name/],
+    [["status", "--bogus"], /Argument bogus: found an unknown name/],
+    [
+      ["status", "--daemon", "x"],
+      /--daemon: found "x", expected one HOST:PORT/,
+    ],
+    [["status", "--daemon"], /--daemon: found no value/],
+    [["check-settings"], /<file>: found nothing/],
+    [["daemon"], /--settings: found nothing/],
+    [["rules", "submit", "x"], /--department: found nothing/],
+    [["metrics", "--json", "--prometheus"], /either --json or --prometheus/],
+  ];
+  for (const [args, message] of cases) {
+    const { status, out, err } = await runCommand(args);
+    t.is(status, 2, args.join(" "));
+    t.regex(err, message);
+    t.is(out, "");
+  }
+});
+
+test("help and version go to the output with status 0", async (t) => {
+  const help = await runCommand(["--help"]);
+  t.regex(help.out, /check-settings <file>/);
+  t.is(help.status, 0);
+  const { version } = JSON.parse(readFileSync("package.json", "utf8"));
+  t.is((await runCommand(["--version"])).out, `${version}\n`);
+});
+
+test("settings issues stop the daemon before it opens anything", async (t) => {
+  t.is((await runCommand(["check-settings", SAMPLE])).status, 0);
+  const bad = await runCommand(["check-settings", "--json", "package.json"]);
+  t.is(bad.status, 2);
+  t.false(JSON.parse(bad.out).ok);
+  const daemon = await runCommand(["daemon", "--settings", "package.json"]);
+  t.is(daemon.status, 2);
+  t.regex(daemon.err, /^package.json:1: /m);
+});
+
+test("no listener at the address is status 3", async (t) => {
+  const { daemon, close } = await listen(() => {});
+  close();
+  t.is((await runCommand(["status", "--daemon", daemon])).status, 3);
+  t.is((await runCommand(["drain", "--daemon", daemon])).status, 3);
+});
+
+test("a drain whose response is lost is reported as not known", async (t) => {
+  const { daemon, close } = await listen((request) => request.socket.destroy());
+  t.is((await runCommand(["drain", "--daemon", daemon])).status, 5);
+  t.is((await runCommand(["status", "--daemon", daemon])).status, 3);
+  close();
+});
+
+test("refusals and unreadable answers have statuses of their own", async (t) => {
+  const { daemon, close } = await listen((request, response) => {
+    response.writeHead(request.method === "POST" ? 409 : 200).end("no JSON");
+  });
+  t.is((await runCommand(["drain", "--daemon", daemon])).status, 6);
+  t.is((await runCommand(["members", "--daemon", daemon])).status, 7);
+  close();
+});
+
+test("tables are aligned and can't control the terminal", async (t) => {
+  const member = { state: "up", incarnation: 1, sequence: 2 };
+  const { daemon, close } = await listen(answerJson({
+    "GET /-/members": {
+      members: [
+        { ...member, address: "1", dataCentre: "a\u001b[2J", server: null },
+        {
+          ...member,
+          address: "127.0.0.1:7001",
+          dataCentre: "suva",
+          reachable: false,
+          server: { service: "bookings", slots: 30 },
+        },
+      ],
+    },
+  }));
+  const { out, status } = await runCommand(["members", "--daemon", daemon]);
+  close();
+  t.is(status, 0);
+  t.false(out.includes("\u001b"));
+  const columns = out.trimEnd().split("\n").slice(1).map((line) =>
+    line.search(/up/)
+  );
+  t.is(columns[0], columns[1]);
+  t.regex(out, /up, unreachable +bookings +30/);
+});
+
+test("verify tells a difference from a daemon without an answer", async (t) => {
+  const { daemon, close } = await listen(answerJson({
+    "GET /-/rules": { sequence: 1 },
+    "GET /-/rules?scope=members": {
+      daemons: [{ address: "a", rules: {} }, {
+        address: "b",
+        error: "timeout",
+      }],
+    },
+  }));
+  const verify = (differs: boolean, ...more: string[]) =>
+    runCommand(
+      ["rules", "verify", SAMPLE, "--department", "bakery", ...more],
+      {
+        verify: ({ daemons }) =>
+          Promise.resolve({
+            kind: "compared",
+            daemons: daemons.map(({ address }) => ({
+              address,
+              differences: differs
+                ? [{ section: "bakery", agreed: "2", inEffect: "1" }]
+                : [],
+            })),
+          }),
+      },
+    );
+  t.is((await verify(false, "--daemon", daemon)).status, 0);
+  t.is((await verify(true, "--daemon", daemon)).status, 1);
+  const members = await verify(false, "--daemon", daemon, "--members");
+  t.is(members.status, 3);
+  t.regex(members.err, /Daemon b could not be asked: timeout/);
+  const both = ["--daemon", daemon, "--daemon", "127.0.0.1:1", "--json"];
+  const json = await verify(true, ...both);
+  t.is(json.status, 1);
+  t.is(JSON.parse(json.out).unanswered.length, 1);
+  t.is((await verify(true, "--daemon", "127.0.0.1:1")).status, 3);
+  close();
+});
+
+test("each answer to a submit has its own status", async (t) => {
+  const change = { changeId: "c1", section: "bakery", version: 2 };
+  const cases = [
+    [{ kind: "accepted", ...change }, 0],
+    [{ kind: "unchanged", ...change }, 0],
+    [{ kind: "pending", changeId: "c1", missing: ["sales"] }, 0],
+    [{ kind: "conflict", ...change }, 4],
+    [{ kind: "rejected", issues: [] }, 2],
+    [{ kind: "unavailable", message: "store down" }, 6],
+    [{ kind: "unknown", changeId: "c1", message: "timeout" }, 5],
+  ] as const;
+  const args = ["--department", "bakery", "--key", SAMPLE];
+  for (const [answer, expected] of cases) {
+    const submit = () => Promise.resolve(answer as never);
+    const submitted = await runCommand(
+      ["rules", "submit", SAMPLE, ...args],
+      { submit },
+    );
+    t.is(submitted.status, expected, answer.kind);
+  }
+});
+
+test("keygen keeps the private key off the output and never overwrites", async (t) => {
+  const directory = mkdtempSync(join(tmpdir(), "nutmegmoor-"));
+  const file = join(directory, "key.pem");
+  const first = await runCommand(["rules", "keygen", "--out", file]);
+  t.is(first.status, 0);
+  t.regex(first.out, /^public-key = [\w+/]{59}=\n$/);
+  t.is(statSync(file).mode & 0o777, 0o600);
+  const pem = readFileSync(file, "utf8");
+  t.is((await runCommand(["rules", "keygen", "--out", file])).status, 2);
+  t.is(readFileSync(file, "utf8"), pem);
+  rmSync(directory, { recursive: true });
+  t.false(existsSync(directory));
+});
