--- a/src/daemon/local_app.ts
+++ b/src/daemon/local_app.ts
@@ -29,7 +29,7 @@
       service: relay.server?.service ?? null,
       limit: relay.admission?.limit ?? null,
       inFlight: relay.admission?.inFlight ?? null,
-      queued: relay.admission?.queue.length ?? null,
+      queued: relay.admission?.queue.size ?? null,
       level: relay.admission?.level ?? null,
     });
   });
--- a/src/daemon/start_daemon.ts
+++ b/src/daemon/start_daemon.ts
@@ -77,7 +77,8 @@
     setInterval(() => expireOpen(relay, clock()), DEADLINE_SWEEP_MS),
     setInterval(() => {
       if (relay.admission === null) return;
-      startTickets(tick(relay.admission, clock()));
+      const now = clock();
+      startTickets(tick(relay.admission, now), now);
     }, ADMISSION_TICK_MS),
     setInterval(() => sweepLedger(relay.ledger, clock()), LEDGER_SWEEP_MS),
     setInterval(() => {
--- a/src/relay/end_inbound_call.ts
+++ b/src/relay/end_inbound_call.ts
@@ -23,7 +23,12 @@
     const now = relay.clock();
     const serviceMs = now - call.startedAt;
     const { ticket } = call;
-    startTickets(finish(relay.admission, { ticket, serviceMs, outcome }, now));
+    const decided = finish(
+      relay.admission,
+      { ticket, serviceMs, outcome },
+      now,
+    );
+    startTickets(decided, now);
   }
   return true;
 }
--- a/src/relay/inbound.ts
+++ b/src/relay/inbound.ts
@@ -98,7 +98,7 @@
     priority: call.ticket.priority,
     level: relay.admission!.level,
     inflight: relay.admission!.inFlight,
-    queued: relay.admission!.queue.length,
+    queued: relay.admission!.queue.size,
     limit: relay.admission!.limit,
   });
   if (decision.kind === "run") callServer(relay, call);
