Compose the daemon from membership, rules and the data path

Cause: the modules were built side by side and nothing ran them together. Change: a tsyringe container with one token a part; control listener behind the signature check; a rules keeper that pulls, pushes and polls; local routes for status, members, metrics, rules and drain; planned shutdown on SIGTERM.

--- a/src/cli/commands/daemon.ts
+++ b/src/cli/commands/daemon.ts
@@ -19,7 +19,7 @@
   },
   examples: [["$0 daemon --settings settings/viti-levu.ini", ""]],
   schema: z.object({ settings: argument.file }),
-  async run({ settings: file }, { err, startDaemon }) {
+  async run({ settings: file }, { err, startDaemon, onEndSignal }) {
     const loaded = loadSettings(file);
     if (!loaded.ok) {
       err(loaded.lines);
@@ -29,7 +29,8 @@
     if (log.namespaces !== "") createDebug.enable(log.namespaces);
     const writer = installLogWriter({ flushMs: log.flushMs });
     try {
-      await startDaemon(loaded.settings);
+      const { leave } = await startDaemon(loaded.settings);
+      onEndSignal(leave);
       return ExitStatus.ok;
     } catch (error) {
       writer.uninstall();
--- a/src/cli/create_environment.ts
+++ b/src/cli/create_environment.ts
@@ -10,6 +10,10 @@
     out: (text) => process.stdout.write(text),
     err: (text) => process.stderr.write(text),
     rules: absentRules,
+    onEndSignal: (listener) => {
+      process.on("SIGTERM", listener);
+      process.on("SIGINT", listener);
+    },
     // Other commands start faster without the modules of the daemon.
     startDaemon: async (settings) => {
       const { startDaemon } = await import("../daemon/start_daemon.ts");
--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -6,5 +6,7 @@
   out(text: string): void;
   err(text: string): void;
   rules: RulesHandlers;
-  startDaemon(settings: Settings): Promise<unknown>;
+  startDaemon(settings: Settings): Promise<{ leave(): void }>;
+  /** Calls back once when the process is asked to end. */
+  onEndSignal(listener: () => void): void;
 };
--- a/src/cli/run_test.ts
+++ b/src/cli/run_test.ts
@@ -23,6 +23,7 @@
     err: (text) => err += text,
     rules: { ...absentRules, ...rules },
     startDaemon: () => Promise.reject(new Error("port in use")),
+    onEndSignal: () => {},
   });
   return { status, out, err };
 }
--- /dev/null
+++ b/src/daemon/collect_reports.ts
@@ -0,0 +1,39 @@
+import type { DependencyContainer } from "tsyringe";
+import { peersOf } from "../membership/peers_of.ts";
+import { reportRules } from "../rules/report_rules.ts";
+import type { RulesReport } from "../rules/rules_report.ts";
+import { Token } from "./token.ts";
+
+/** Daemons asked at once, so that a large fleet opens few connections. */
+const CONCURRENCY = 32;
+
+type Collected = {
+  daemons: { address: string; rules?: RulesReport; error?: string }[];
+};
+
+/** Returns the rules in effect here, or at every live daemon. */
+export async function collectReports(
+  parts: DependencyContainer,
+  { everywhere }: { everywhere: boolean },
+): Promise<RulesReport | Collected> {
+  const own = reportRules(parts.resolve(Token.rules));
+  if (!everywhere) return own;
+  const directory = parts.resolve(Token.directory);
+  const client = parts.resolve(Token.rulesClient);
+  const addresses = [...peersOf(directory).values()].flat();
+  const daemons: Collected["daemons"] = [
+    { address: directory.identity.address, rules: own },
+  ];
+  const worker = async () => {
+    for (;;) {
+      const address = addresses.pop();
+      if (address === undefined) return;
+      const rules = await client.report(address);
+      daemons.push(
+        rules === null ? { address, error: "no answer" } : { address, rules },
+      );
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENCY }, worker));
+  return { daemons };
+}
--- a/src/daemon/create_relay.ts
+++ b/src/daemon/create_relay.ts
@@ -1,5 +1,5 @@
 import { createLogger } from "../core/create_logger.ts";
-import { createLedger } from "../execution/create_ledger.ts";
+import type { Ledger } from "../execution/ledger.ts";
 import type { Relay } from "../relay/relay.ts";
 import { createRouting } from "../routing/create_routing.ts";
 import type { Settings } from "../settings/settings.ts";
@@ -11,7 +11,7 @@
 type Parts =
   & Pick<Relay, "clock" | "random" | "isLeaving">
   & Pick<Relay, "candidates" | "serviceRule">
-  & { settings: Settings };
+  & { settings: Settings; ledger: Ledger };
 
 /** Creates the data path of a daemon. */
 export function createRelay({ settings, ...parts }: Parts): Relay {
@@ -23,7 +23,6 @@
     log: createLogger("relay"),
     routing: createRouting(daemon.dataCentre),
     shedding: createShedding(),
-    ledger: createLedger(address),
     server: null,
     admission: null,
     serverPool: null,
--- /dev/null
+++ b/src/daemon/create_stores.ts
@@ -0,0 +1,29 @@
+import { createObjectStore } from "../platform/create_object_store.ts";
+import { createTableService } from "../platform/create_table_service.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { Platform } from "./platform.ts";
+
+/** Creates the clients of the platform; null where the settings name none. */
+export function createStores(
+  { platform, daemon }: Settings,
+): Platform {
+  if (platform === null) {
+    return { stores: null, close: () => Promise.resolve() };
+  }
+  const { accessKey, secretKey } = platform;
+  const { region } = daemon;
+  const credentials = { accessKey, secretKey, region };
+  const table = createTableService({
+    endpoint: platform.tableService,
+    ...credentials,
+  });
+  const objects = createObjectStore({
+    endpoint: platform.objectStore,
+    ...credentials,
+  });
+  const close = async () => {
+    await table.close();
+    await objects.close();
+  };
+  return { stores: { table, objects }, close };
+}
--- /dev/null
+++ b/src/daemon/describe_daemon.ts
@@ -0,0 +1,28 @@
+import type { DependencyContainer } from "tsyringe";
+import { load } from "../admission/load.ts";
+import { Token } from "./token.ts";
+
+/** Returns the state of a daemon as `GET /-/status` shows it. */
+export function describeDaemon(parts: DependencyContainer) {
+  const relay = parts.resolve(Token.relay);
+  const directory = parts.resolve(Token.directory);
+  const { admission, server } = relay;
+  return {
+    address: relay.address,
+    dataCentre: directory.identity.dataCentre,
+    phase: parts.resolve(Token.drain).phase,
+    service: server?.service ?? null,
+    serverState: server?.state ?? null,
+    slots: admission?.slots ?? null,
+    limit: admission?.limit ?? null,
+    inFlight: admission?.inFlight ?? null,
+    queued: admission?.queue.size ?? null,
+    load: admission === null ? null : load(admission),
+    level: admission?.level ?? null,
+    open: relay.open.size,
+    members: directory.members.size,
+    unreachableDataCentres: [...directory.lost.keys()],
+    rulesSequence: parts.resolve(Token.rules).record.sequence,
+    rejectedControlMessages: parts.resolve(Token.guard).rejected,
+  };
+}
--- a/src/daemon/local_app.ts
+++ b/src/daemon/local_app.ts
@@ -1,42 +1,75 @@
-import { App } from "@tinyhttp/app";
+import { App, type Response } from "@tinyhttp/app";
 import type { RequestListener } from "node:http";
+import type { DependencyContainer } from "tsyringe";
+import { createLogger } from "../core/create_logger.ts";
 import { parse } from "../core/parse.ts";
-import type { Drain } from "../drain/drain.ts";
+import { announce } from "../membership/announce.ts";
 import { Announcement } from "../membership/announcement.ts";
-import type { Relay } from "../relay/relay.ts";
+import { formatPrometheus } from "../metrics/format_prometheus.ts";
+import { takeSnapshot } from "../metrics/take_snapshot.ts";
 import { useServer } from "../relay/use_server.ts";
+import { collectReports } from "./collect_reports.ts";
+import { listMembers } from "./list_members.ts";
 import { readJson } from "./read_json.ts";
-
-/** What the routes for backend server and operators work on. */
-type Parts = { relay: Relay; drain: Drain; leave: () => void };
+import { describeDaemon } from "./describe_daemon.ts";
+import { Token } from "./token.ts";
 
 /** Routes under `/-/` of the local listener. */
-export function localApp({ relay, drain, leave }: Parts): RequestListener {
+export function localApp(
+  { parts, leave }: { parts: DependencyContainer; leave: () => void },
+): RequestListener {
   const app = new App();
+  const log = createLogger("daemon");
   app.put("/-/announce", async (request, response) => {
     const body = parse(Announcement, await readJson(request));
     if (!body.ok) {
-      relay.log("announcement", { rejected: body.issues[0]?.message });
+      log("announcement-rejected", { message: body.issues[0]?.message });
       return response.status(400).json(body);
     }
-    useServer(relay, body.value);
-    response.status(200).json({ ok: true });
+    takeAnnouncement(parts, body.value);
+    response.json({ ok: true });
   });
   app.get("/-/status", (_request, response) => {
-    response.json({
-      address: relay.address,
-      phase: drain.phase,
-      service: relay.server?.service ?? null,
-      limit: relay.admission?.limit ?? null,
-      inFlight: relay.admission?.inFlight ?? null,
-      queued: relay.admission?.queue.size ?? null,
-      level: relay.admission?.level ?? null,
-    });
+    response.json(describeDaemon(parts));
+  });
+  app.get("/-/members", (_request, response) => {
+    response.json(listMembers(parts.resolve(Token.directory)));
+  });
+  app.get("/-/metrics", (request, response) => {
+    sendMetrics(parts, response, request.headers.accept ?? "");
+  });
+  app.get("/-/rules", async (request, response) => {
+    const everywhere = request.url.endsWith("?scope=members");
+    response.json(await collectReports(parts, { everywhere }));
   });
   app.post("/-/drain", (_request, response) => {
     leave();
-    response.json({ ok: true, phase: drain.phase });
+    response.json({ ok: true, phase: parts.resolve(Token.drain).phase });
   });
   // tinyhttp adds its own fields to the plain request and response.
   return app.attach as unknown as RequestListener;
 }
+
+function takeAnnouncement(
+  parts: DependencyContainer,
+  announcement: Announcement,
+): void {
+  const directory = parts.resolve(Token.directory);
+  const before = directory.announcement?.state;
+  announce(directory, announcement, parts.resolve(Token.clock)());
+  useServer(parts.resolve(Token.relay), announcement);
+  const leavesNow = announcement.state === "leaving" && before !== "leaving";
+  // The other daemons should stop sending at once, not at the next exchange.
+  if (leavesNow) parts.resolve(Token.gossiper).pushOwn();
+}
+
+function sendMetrics(
+  parts: DependencyContainer,
+  response: Response,
+  accept: string,
+): void {
+  const snapshot = takeSnapshot(parts.resolve(Token.metrics));
+  if (accept.includes("text/plain")) {
+    response.type("text/plain").send(formatPrometheus(snapshot));
+  } else response.json(snapshot);
+}
--- /dev/null
+++ b/src/daemon/open_listeners.ts
@@ -0,0 +1,74 @@
+import type { RequestListener, Server } from "node:http";
+import type { DependencyContainer } from "tsyringe";
+import { createLogger } from "../core/create_logger.ts";
+import { createControlRouter } from "../membership/create_control_router.ts";
+import { handleIngress } from "../relay/ingress_listener.ts";
+import { handleOutbound } from "../relay/outbound_listener.ts";
+import { handlePeer } from "../relay/peer_listener.ts";
+import { createRulesRouter } from "../rules/create_rules_router.ts";
+import { createControlHandler } from "../security/create_control_handler.ts";
+import { ingressApp } from "./ingress_app.ts";
+import { listen } from "./listen.ts";
+import { localApp } from "./local_app.ts";
+import { peerApp } from "./peer_app.ts";
+import { rulesMark } from "./rules_mark.ts";
+import { Token } from "./token.ts";
+
+const KIB = 1024;
+const RESERVED = "/-/";
+const CONTROL = "/-/rpc/";
+
+/** Opens the three listeners of a daemon. */
+export function openListeners(
+  parts: DependencyContainer,
+  { leave }: { leave: () => void },
+): Promise<Server[]> {
+  const { daemon, limits } = parts.resolve(Token.settings);
+  const relay = parts.resolve(Token.relay);
+  const control = controlHandler(parts);
+  const ingress = ingressApp({ relay });
+  const peer = peerApp({ relay });
+  const local = localApp({ parts, leave });
+  const maxHeaderSize = limits.headerKib * KIB;
+  const host = daemon.address;
+  return Promise.all([
+    listen((request, response) => {
+      if (isUnder(CONTROL, request.url)) return void control(request, response);
+      if (isUnder(RESERVED, request.url)) return peer(request, response);
+      handlePeer(relay, request, response);
+    }, { host, port: daemon.peerPort, maxHeaderSize }),
+    listen((request, response) => {
+      if (isUnder(RESERVED, request.url)) return ingress(request, response);
+      handleIngress(relay, request, response);
+    }, { host, port: daemon.ingressPort, maxHeaderSize }),
+    listen((request, response) => {
+      if (isUnder(RESERVED, request.url)) return local(request, response);
+      handleOutbound(relay, request, response);
+    }, { host: daemon.localAddress, port: daemon.localPort, maxHeaderSize }),
+  ]);
+}
+
+function isUnder(prefix: string, url: string | undefined): boolean {
+  return url?.startsWith(prefix) === true;
+}
+
+function controlHandler(
+  parts: DependencyContainer,
+): (...pair: Parameters<RequestListener>) => Promise<void> {
+  const rules = parts.resolve(Token.rules);
+  const keeper = parts.resolve(Token.keeper);
+  const client = parts.resolve(Token.controlClient);
+  const router = createControlRouter({
+    directory: parts.resolve(Token.directory),
+    now: parts.resolve(Token.clock),
+    rules: () => rulesMark(rules),
+    noteRules: (mark) => keeper.noteHead(mark.address, mark.rules.sequence),
+    probe: (address) => client.probe(address),
+  }, { rules: createRulesRouter({ rules, receive: keeper.receive }) });
+  const log = createLogger("security");
+  return createControlHandler({
+    guard: parts.resolve(Token.guard),
+    router,
+    log,
+  });
+}
--- /dev/null
+++ b/src/daemon/start_timers.ts
@@ -0,0 +1,78 @@
+import type { DependencyContainer } from "tsyringe";
+import { tick } from "../admission/tick.ts";
+import { sweepLedger } from "../execution/sweep_ledger.ts";
+import { keepBootstrap } from "../membership/keep_bootstrap.ts";
+import { expireOpen } from "../relay/expire_open.ts";
+import { startTickets } from "../relay/start_tickets.ts";
+import { useServer } from "../relay/use_server.ts";
+import { Token } from "./token.ts";
+
+const DEADLINE_SWEEP_MS = 10;
+const ADMISSION_TICK_MS = 50;
+const SWEEP_MS = 1_000;
+const GOSSIP_MS = 1_000;
+const RULES_TICK_MS = 250;
+const BOOTSTRAP_MS = 60_000;
+const BOOTSTRAP_RETRY_MS = 2_000;
+
+/** Starts the periodic work of a daemon; returns what ends it. */
+export function startTimers(parts: DependencyContainer): () => void {
+  const clock = parts.resolve(Token.clock);
+  const relay = parts.resolve(Token.relay);
+  const directory = parts.resolve(Token.directory);
+  const gossiper = parts.resolve(Token.gossiper);
+  const keeper = parts.resolve(Token.keeper);
+  const timers = [
+    setInterval(() => expireOpen(relay, clock()), DEADLINE_SWEEP_MS),
+    setInterval(() => {
+      if (relay.admission === null) return;
+      const now = clock();
+      startTickets(tick(relay.admission, now), now);
+    }, ADMISSION_TICK_MS),
+    setInterval(() => sweepLedger(relay.ledger, clock()), SWEEP_MS),
+    setInterval(() => {
+      // The directory notices when the heartbeats of the server end.
+      const gone = directory.announcement === null && relay.server !== null;
+      if (gone) useServer(relay, null);
+    }, ADMISSION_TICK_MS),
+    setInterval(() => keeper.tick(), RULES_TICK_MS),
+  ];
+  const rounds = repeat(() => gossiper.round().then(() => GOSSIP_MS));
+  const bootstrap = repeat(() => joinOnce(parts));
+  return () => {
+    for (const timer of timers) clearInterval(timer);
+    rounds();
+    bootstrap();
+  };
+}
+
+/** Reads and keeps the bootstrap rows; returns when to do it again, in ms. */
+async function joinOnce(parts: DependencyContainer): Promise<number> {
+  const { stores } = parts.resolve(Token.platform);
+  if (stores === null) return BOOTSTRAP_MS;
+  const directory = parts.resolve(Token.directory);
+  const found = await keepBootstrap(
+    { table: stores.table, directory },
+    Date.now(),
+    parts.resolve(Token.clock)(),
+  );
+  if (found === null) return BOOTSTRAP_RETRY_MS;
+  const { peers } = parts.resolve(Token.settings).daemon;
+  parts.resolve(Token.seeds).addresses = [...new Set([...peers, ...found])];
+  return directory.members.size > 1 ? BOOTSTRAP_MS : BOOTSTRAP_RETRY_MS;
+}
+
+/** Runs work again and again, each time the returned ms after it has ended. */
+function repeat(work: () => Promise<number>): () => void {
+  let stopped = false;
+  let timer: NodeJS.Timeout | undefined;
+  const run = async () => {
+    const delay = await work();
+    if (!stopped) timer = setTimeout(run, delay);
+  };
+  run();
+  return () => {
+    stopped = true;
+    clearTimeout(timer);
+  };
+}
--- a/src/daemon/token.ts
+++ b/src/daemon/token.ts
@@ -1,9 +1,39 @@
+import type { InjectionToken } from "tsyringe";
+import type { Random } from "../core/random.ts";
+import type { Drain } from "../drain/drain.ts";
+import type { Ledger } from "../execution/ledger.ts";
+import type { ControlClient } from "../membership/control_client.ts";
+import type { createGossiper } from "../membership/create_gossiper.ts";
+import type { Directory } from "../membership/directory.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import type { Relay } from "../relay/relay.ts";
+import type { Rules } from "../rules/rules.ts";
+import type { RulesClient } from "../rules/rules_client.ts";
+import type { RulesKeeper } from "../rules/rules_keeper.ts";
+import type { Guard } from "../security/guard.ts";
+import type { Settings } from "../settings/settings.ts";
+import type { ControlFetches } from "./control_fetches.ts";
+import type { Platform } from "./platform.ts";
+
 /** Tokens under which the parts of a daemon are registered in its container. */
 export const Token = {
-  settings: Symbol("settings"),
-  clock: Symbol("clock"),
-  random: Symbol("random"),
-  relay: Symbol("relay"),
-  ledger: Symbol("ledger"),
-  drain: Symbol("drain"),
+  settings: Symbol("settings") as InjectionToken<Settings>,
+  clock: Symbol("clock") as InjectionToken<() => number>,
+  random: Symbol("random") as InjectionToken<Random>,
+  ledger: Symbol("ledger") as InjectionToken<Ledger>,
+  drain: Symbol("drain") as InjectionToken<Drain>,
+  directory: Symbol("directory") as InjectionToken<Directory>,
+  rules: Symbol("rules") as InjectionToken<Rules>,
+  platform: Symbol("platform") as InjectionToken<Platform>,
+  metrics: Symbol("metrics") as InjectionToken<Metrics>,
+  relay: Symbol("relay") as InjectionToken<Relay>,
+  guard: Symbol("guard") as InjectionToken<Guard>,
+  fetches: Symbol("fetches") as InjectionToken<ControlFetches>,
+  controlClient: Symbol("control client") as InjectionToken<ControlClient>,
+  rulesClient: Symbol("rules client") as InjectionToken<RulesClient>,
+  gossiper: Symbol("gossiper") as InjectionToken<
+    ReturnType<typeof createGossiper>
+  >,
+  keeper: Symbol("rules keeper") as InjectionToken<RulesKeeper>,
+  seeds: Symbol("seeds") as InjectionToken<{ addresses: string[] }>,
 } as const;
--- /dev/null
+++ b/src/rules/create_rules_client.ts
@@ -0,0 +1,50 @@
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { z } from "zod";
+import { controlTrpc } from "../membership/control_trpc.ts";
+import { Change } from "./change.ts";
+import type { createRulesRouter } from "./create_rules_router.ts";
+import type { RulesClient } from "./rules_client.ts";
+import { RulesReport } from "./rules_report.ts";
+import { Snapshot } from "./snapshot.ts";
+
+type Fetch = NonNullable<Parameters<typeof httpLink>[0]["fetch"]>;
+type Router = ReturnType<typeof nest>;
+
+const Delta = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("changes"), changes: z.array(Change) }),
+  z.object({ kind: z.literal("too-old") }),
+]);
+
+/** Returns control calls about rules over tRPC; none of them throws. */
+export function createRulesClient({ fetch }: { fetch: Fetch }): RulesClient {
+  const to = (address: string) =>
+    createTRPCClient<Router>({
+      links: [httpLink({ url: `http://${address}/-/rpc`, fetch })],
+    }).rules;
+  return {
+    pull: (address, after) =>
+      orNull(async () => Delta.parse(await to(address).pull.mutate({ after }))),
+    snapshot: (address, known) =>
+      orNull(async () =>
+        Snapshot.nullable().parse(await to(address).snapshot.mutate({ known }))
+      ),
+    push: async (address, notice) =>
+      await orNull(() => to(address).push.mutate(notice)) !== null,
+    report: (address) =>
+      orNull(async () => RulesReport.parse(await to(address).report.mutate())),
+  };
+}
+
+function nest(rules: ReturnType<typeof createRulesRouter>) {
+  return controlTrpc.router({ rules });
+}
+
+async function orNull<Value>(
+  call: () => Promise<Value>,
+): Promise<Value | null> {
+  try {
+    return await call();
+  } catch {
+    return null;
+  }
+}
