Add the demo: both installations as separate processes through an overload

Cause: the whole path, with membership, rules and platform stand-ins, has to be seen to work under load.

--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -167,6 +167,7 @@
     host,
     dataCentre: "suva",
     peers: [peer],
+    platform: "127.0.0.1",
     publicKey: "MCowBQYDK2VwAyEAzIq4zUOyhgtlZDWK4jlKTXzkUYyQxANTPEYSNpwpigQ=",
     log: "nutmegmoor:*",
   });
--- a/fleet/fleet.ts
+++ b/fleet/fleet.ts
@@ -7,6 +7,12 @@
   members: Member[];
   /** Directory with the settings files. */
   directory: string;
-  /** Private key of the department, base64. */
-  privateKey: string;
+  /** Address of the stand-ins of the platform. */
+  platform: string;
+  /** Program and arguments of a daemon, before `daemon`. */
+  program: string[];
+  /** Namespaces of `debug`. */
+  log: string;
+  /** Keys of the department, base64. */
+  keys: { publicKey: string; privateKey: string };
 };
--- /dev/null
+++ b/fleet/publish_rules.ts
@@ -0,0 +1,80 @@
+import { randomUUID } from "node:crypto";
+import type { Deployment } from "../deployments/deployment.ts";
+import {
+  configuration,
+  type ConfigurationBuilder,
+  parsePrivateKey,
+  signSection,
+} from "../src/library.ts";
+import { createObjectStore } from "../src/platform/create_object_store.ts";
+import { createTableService } from "../src/platform/create_table_service.ts";
+import { submitChange } from "../src/rules/submit_change.ts";
+import { Ports } from "./ports.ts";
+
+/** Who publishes. */
+type Options = {
+  platform: string;
+  publicKey: string;
+  privateKey: string;
+  version: number;
+};
+
+/** Submits the rules of a deployment to the platform's stand-in. */
+export async function publishRules(
+  deployment: Deployment,
+  { platform, publicKey, privateKey, version }: Options,
+): Promise<void> {
+  const terms = rulesOf(deployment).build();
+  const key = parsePrivateKey(privateKey);
+  if (!terms.ok) throw new Error(JSON.stringify(terms.issues));
+  if (!key.ok) throw new Error("Private key is malformed");
+  const { department } = deployment;
+  const section = signSection(
+    { version, terms: terms.value },
+    { department, privateKey: key.value },
+  );
+  const credentials = {
+    accessKey: "fleet",
+    secretKey: "fleet-secret",
+    region: deployment.name,
+  };
+  const table = createTableService({
+    endpoint: `http://${platform}:${Ports.tableService}`,
+    ...credentials,
+  });
+  const objects = createObjectStore({
+    endpoint: `http://${platform}:${Ports.objectStore}`,
+    ...credentials,
+  });
+  const outcome = await submitChange(table, {
+    objects,
+    section,
+    changeId: randomUUID(),
+    departmentKeys: { [department]: publicKey },
+  });
+  await table.close();
+  await objects.close();
+  if (outcome.kind !== "accepted") throw new Error(JSON.stringify(outcome));
+}
+
+function rulesOf(deployment: Deployment): ConfigurationBuilder {
+  return deployment.services.reduce(
+    (builder, { name, operations }) =>
+      builder.service(
+        name,
+        (service) =>
+          operations.reduce((collected, operation) => {
+            const { importance, idempotent, retries, deadlineMs } = operation;
+            return collected.request(operation.name, {
+              method: operation.method as "GET",
+              path: operation.path,
+              importance,
+              idempotent,
+              retries,
+              deadlineMs,
+            });
+          }, service),
+      ),
+    configuration(deployment.department),
+  );
+}
--- a/fleet/settings_text.ts
+++ b/fleet/settings_text.ts
@@ -8,13 +8,12 @@
   dataCentre: string;
   peers: string[];
   publicKey: string;
+  /** Address of the stand-ins of the platform. */
+  platform: string;
   /** Namespaces of `debug`, or empty. */
   log: string;
 };
 
-/** Address of the platform's stand-ins. */
-const PLATFORM = "127.0.0.1";
-
 /** Returns the settings file of one daemon of a fleet. */
 export function settingsText(values: Values): string {
   return `[daemon]
@@ -29,8 +28,8 @@
 installation-key = an installation key of the test fleet only
 
 [platform]
-table-service = http://${PLATFORM}:${Ports.tableService}
-object-store = http://${PLATFORM}:${Ports.objectStore}
+table-service = http://${values.platform}:${Ports.tableService}
+object-store = http://${values.platform}:${Ports.objectStore}
 access-key = fleet
 secret-key = fleet-secret
 
--- /dev/null
+++ b/fleet/start_daemon.ts
@@ -0,0 +1,30 @@
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import type { Member } from "./member.ts";
+import { settingsText } from "./settings_text.ts";
+import { spawnMember } from "./spawn_member.ts";
+
+/** Which daemon to start. */
+type Vm = Parameters<typeof settingsText>[0] & {
+  directory: string;
+  service: string;
+  /** Program and arguments before `daemon`. */
+  program: string[];
+};
+
+/** Starts a daemon on a VM of the fleet. */
+export function startDaemon(vm: Vm): Promise<Member> {
+  const file = join(vm.directory, `${vm.host}.ini`);
+  writeFileSync(file, settingsText(vm));
+  return spawnMember({
+    name: `daemon ${vm.host}`,
+    kind: "daemon",
+    service: vm.service,
+    dataCentre: vm.dataCentre,
+    host: vm.host,
+    command: process.execPath,
+    args: [...vm.program, "daemon", "--settings", file],
+    ready: /listening/,
+  });
+}
--- /dev/null
+++ b/fleet/start_server.ts
@@ -0,0 +1,45 @@
+import process from "node:process";
+import type { Deployment } from "../deployments/deployment.ts";
+import type { Member } from "./member.ts";
+import { Ports } from "./ports.ts";
+import { spawnMember } from "./spawn_member.ts";
+
+/** Which server to start. */
+type Vm = {
+  deployment: Deployment;
+  service: string;
+  dataCentre: string;
+  host: string;
+};
+
+/** Starts a stand-in backend server on a VM of the fleet. */
+export function startServer(
+  { deployment, service, dataCentre, host }: Vm,
+): Promise<Member> {
+  const about = deployment.services.find(({ name }) => name === service)!;
+  const settings = {
+    service,
+    host,
+    port: Ports.server,
+    daemon: `${host}:${Ports.local}`,
+    slots: about.slots,
+    connections: about.connections,
+    operations: about.operations.map((
+      { method, path, workMs, bytes, calls },
+    ) => ({ method, path, workMs, bytes, calls })),
+  };
+  return spawnMember({
+    name: `server ${host}`,
+    kind: "server",
+    service,
+    dataCentre,
+    host,
+    command: process.execPath,
+    args: [
+      "--import=tsx",
+      "standin/server/main.ts",
+      JSON.stringify(settings),
+    ],
+    ready: /listening/,
+  });
+}
