Bound the size and number of sections

Cause: the schema bounds services and requests but not bytes, so one department could declare several MB and fill the memory of every daemon.

--- a/src/rules/admission_issues.ts
+++ b/src/rules/admission_issues.ts
@@ -1,6 +1,7 @@
 import type { Issue } from "../core/issue.ts";
 import { agreements } from "./agreements.ts";
 import type { EffectiveSection } from "./effective_section.ts";
+import { LIMITS } from "./limits.ts";
 import { ownerIssues } from "./owner_issues.ts";
 import type { Rules } from "./rules.ts";
 import { sectionIssues } from "./section_issues.ts";
@@ -13,6 +14,7 @@
 ): Issue[] {
   const { terms } = candidate.section;
   return [
+    ...countIssues(rules, candidate),
     ...versionIssues(rules.sections.get(candidate.name)?.version, candidate),
     ...sectionIssues(candidate, rules.keys),
     ...ownerIssues(terms, rules.services),
@@ -20,6 +22,15 @@
   ];
 }
 
+function countIssues(
+  { sections }: Pick<Rules, "sections">,
+  { name }: EffectiveSection,
+): Issue[] {
+  if (sections.has(name) || sections.size < LIMITS.sections) return [];
+  const message = `There are already ${LIMITS.sections} sections`;
+  return [{ code: "too-many-sections", path: [name], message }];
+}
+
 function versionIssues(
   current: number | undefined,
   { name, version }: EffectiveSection,
--- a/src/rules/apply_changes_test.ts
+++ b/src/rules/apply_changes_test.ts
@@ -158,6 +158,25 @@
   }));
 });
 
+test("one department cannot fill the memory of every daemon", (t) => {
+  const long = terms("collective");
+  if (long.kind !== "department") return t.fail("Wrong kind of terms");
+  const path = `/${"a".repeat(270_000)}`;
+  const requests = long.services.flatMap((each) =>
+    each.requests.map((request) => ({ ...request, path }))
+  );
+  const services = [{ name: "bookings", requests }];
+  const { codes } = refusal(section(1, { ...long, services }));
+  t.deepEqual(codes, ["section-too-large"]);
+  const { rules } = history(1);
+  const [kept] = rules.sections.values();
+  for (let count = 0; kept && count < 2_000; count++) {
+    rules.sections.set(`agreement@${count}`, kept);
+  }
+  const many = refusal(section(1, terms("rival")), rules);
+  t.deepEqual(many.codes, ["too-many-sections"]);
+});
+
 test("memory of recent changes is bounded", (t) => {
   const { rules } = history(300);
   t.is(rules.recent.length, 256);
--- a/src/rules/rules_report.ts
+++ b/src/rules/rules_report.ts
@@ -1,16 +1,15 @@
 import { z } from "zod";
 import { Head } from "./head.ts";
+import { LIMITS } from "./limits.ts";
 import { Name } from "./name.ts";
 import { SectionVersion } from "./section_version.ts";
 
-const MAX_SECTIONS = 5_000;
-
 /** What a daemon reports to have in effect. */
 export const RulesReport = z.strictObject({
   head: Head,
   sections: z.array(SectionVersion.extend({
     /** Departments that the section binds. */
     departments: z.array(Name),
-  })).max(MAX_SECTIONS),
+  })).max(LIMITS.sections),
 });
 export type RulesReport = z.infer<typeof RulesReport>;
