Make the single executable start quietly and faster

Cause: the executable printed a warning of Node on standard error for the optional package supports-color, and compiled 1.1 MB of script at each start. Change: the build replaces that package by an empty module; the executable carries a code cache.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,6 +4,23 @@
 import { copyFileSync, mkdirSync, writeFileSync } from "node:fs";
 import process from "node:process";
 
+// debug asks for this optional package; a single executable warns on standard
+// error of each module that it can't load.
+const absentPackage = {
+  name: "absent-package",
+  setup(bundle) {
+    const namespace = "absent";
+    bundle.onResolve(
+      { filter: /^supports-color$/ },
+      ({ path }) => ({ path, namespace }),
+    );
+    bundle.onLoad(
+      { filter: /.*/, namespace },
+      () => ({ contents: "module.exports = {};" }),
+    );
+  },
+};
+
 mkdirSync("dist", { recursive: true });
 await build({
   entryPoints: ["src/main.ts"],
@@ -13,6 +30,7 @@
   format: "cjs",
   target: "node20",
   outfile: "dist/nutmegmoor.cjs",
+  plugins: [absentPackage],
   logLevel: "warning",
 });
 
@@ -21,6 +39,7 @@
     main: "dist/nutmegmoor.cjs",
     output: "dist/nutmegmoor.blob",
     disableExperimentalSEAWarning: true,
+    useCodeCache: true,
   };
   writeFileSync("dist/sea.json", JSON.stringify(config));
   execFileSync(process.execPath, [
