Release what an abandoned attempt holds; screen a whole service at once

Cause: a cancelled or expired call never told routing that its attempt had ended, so the daemon looked busier for ever; an overload rejection was retried without regard to the level of the other daemons; a request that may have run under one token could be retried under another.

--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -104,6 +104,7 @@
   return createRelay({
     settings: parts.resolve(Token.settings),
     ledger: parts.resolve(Token.ledger),
+    metrics: parts.resolve(Token.metrics),
     clock: parts.resolve(Token.clock),
     random: parts.resolve(Token.random),
     isLeaving: () => drain.phase !== "serving",
--- a/src/daemon/create_relay.ts
+++ b/src/daemon/create_relay.ts
@@ -9,7 +9,7 @@
 
 /** What the data path needs from other parts of the daemon. */
 type Parts =
-  & Pick<Relay, "clock" | "random" | "isLeaving">
+  & Pick<Relay, "clock" | "random" | "isLeaving" | "metrics">
   & Pick<Relay, "candidates" | "serviceRule">
   & { settings: Settings; ledger: Ledger };
 
--- a/src/relay/finish_forwarding.ts
+++ b/src/relay/finish_forwarding.ts
@@ -1,5 +1,6 @@
 import { combine } from "../outcomes/combine.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
+import { endForwarding } from "./end_forwarding.ts";
 import type { Forwarding } from "./forwarding.ts";
 import { noFeedback } from "./no_feedback.ts";
 import type { Relay } from "./relay.ts";
@@ -10,14 +11,13 @@
   forwarding: Forwarding,
   latest: Outcome,
 ): void {
-  if (forwarding.ended) return;
-  forwarding.ended = true;
-  relay.open.delete(forwarding.open);
+  const { call, reply, known } = forwarding;
+  const outcome = tellable(forwarding, combine(known, latest));
+  if (!endForwarding(relay, forwarding, outcome)) return;
   if (latest.kind === "not-run" && latest.reason === "overload") {
-    forwarding.call.overloadedBelow();
+    call.overloadedBelow();
   }
-  const outcome = combine(forwarding.known, latest);
-  forwarding.reply.fail(tellable(forwarding, outcome), noFeedback);
+  reply.fail(outcome, noFeedback);
 }
 
 function tellable(forwarding: Forwarding, outcome: Outcome): Outcome {
--- a/src/relay/forward.ts
+++ b/src/relay/forward.ts
@@ -1,6 +1,7 @@
 import { parseToken } from "../execution/parse_token.ts";
 import type { Call } from "./call.ts";
 import type { Exchange } from "./exchange.ts";
+import { endForwarding } from "./end_forwarding.ts";
 import { finishForwarding } from "./finish_forwarding.ts";
 import type { Forwarding } from "./forwarding.ts";
 import { obtainToken } from "./obtain_token.ts";
@@ -21,7 +22,9 @@
       deadlineAt: call.context.deadlineAt + DEADLINE_GRACE_MS,
       expire: () => expire(relay, forwarding),
     },
+    startedAt: relay.clock(),
     exchange: null,
+    abandon: null,
     attempts: 0,
     known: null,
     tried: new Set(),
@@ -33,9 +36,10 @@
   else tryOnce(relay, forwarding);
   return {
     cancel() {
-      forwarding.ended = true;
-      relay.open.delete(forwarding.open);
+      const outcome = { kind: "unknown", reason: "cancelled" } as const;
+      if (!endForwarding(relay, forwarding, outcome)) return;
       forwarding.exchange?.cancel();
+      forwarding.abandon?.(outcome);
     },
     resume: () => forwarding.exchange?.resume(),
   };
@@ -97,9 +101,10 @@
 function expire(relay: Relay, forwarding: Forwarding): void {
   forwarding.exchange?.cancel();
   const sent = forwarding.attempts > 0;
-  finishForwarding(
-    relay,
-    forwarding,
-    { kind: sent ? "unknown" : "not-run", reason: "deadline" },
-  );
+  const outcome = {
+    kind: sent ? "unknown" : "not-run",
+    reason: "deadline",
+  } as const;
+  forwarding.abandon?.(outcome);
+  finishForwarding(relay, forwarding, outcome);
 }
--- a/src/relay/forwarding.ts
+++ b/src/relay/forwarding.ts
@@ -9,13 +9,17 @@
   call: Call;
   reply: Reply;
   open: Open;
+  /** When the call came in, in ms. */
+  startedAt: number;
   exchange: Exchange | null;
+  /** Releases what the current attempt holds; null between attempts. */
+  abandon: ((outcome: Outcome) => void) | null;
   attempts: number;
   /** What is known from the attempts so far. */
   known: Outcome | null;
   /** Daemons that an attempt has failed at. */
   tried: Set<string>;
   ended: boolean;
-  /** Starts the next attempt. */
+  /** Starts the next attempt, at whatever daemon is best. */
   next: () => void;
 };
--- /dev/null
+++ b/src/relay/learn_from.ts
@@ -0,0 +1,24 @@
+import type { Outcome } from "../outcomes/outcome.ts";
+import { end } from "../routing/end.ts";
+import { learn } from "../shedding/learn.ts";
+import type { Feedback } from "./feedback.ts";
+import type { Relay } from "./relay.ts";
+import { stockTokens } from "./stock_tokens.ts";
+
+/** How an attempt at a daemon ended. */
+type Ending = { address: string; outcome: Outcome; feedback: Feedback };
+
+/** Passes what an attempt has shown to routing, shedding and token stock. */
+export function learnFrom(
+  relay: Relay,
+  service: string,
+  { address, outcome, feedback }: Ending,
+): void {
+  const now = relay.clock();
+  end(relay.routing, { address, outcome, load: feedback.load }, now);
+  stockTokens(relay, address, feedback.tokens);
+  const { level } = feedback;
+  if (level !== null) {
+    learn(relay.shedding, { service, daemon: address, level }, now);
+  }
+}
--- a/src/relay/pick_daemon.ts
+++ b/src/relay/pick_daemon.ts
@@ -2,7 +2,7 @@
 import type { Outcome } from "../outcomes/outcome.ts";
 import type { Candidate } from "../routing/candidate.ts";
 import { choose } from "../routing/choose.ts";
-import { permits } from "../shedding/permits.ts";
+import { screen } from "../shedding/screen.ts";
 import type { Call } from "./call.ts";
 import type { Relay } from "./relay.ts";
 
@@ -24,26 +24,39 @@
     const known = relay.serviceRule(service) !== undefined;
     return none(known ? "no-server" : "unknown-service");
   }
-  const shed = new Set<string>();
-  const wanted = priority(call.context);
-  for (const { address } of candidates) {
-    const query = { service, daemon: address, priority: wanted };
-    if (!permits(relay.shedding, query, now)) shed.add(address);
-  }
-  if (shed.size === candidates.length) return none("overload");
-  const exclude = new Set([...tried, ...shed]);
-  // With few servers a daemon that failed once is better than none.
-  const all = exclude.size >= candidates.length && shed.size === 0;
-  const choice = choose(
+  const daemons = addressesOf(candidates);
+  const screened = screen(
+    relay.shedding,
+    { service, daemons, priority: priority(call.context) },
+    now,
+  );
+  if (screened.kind === "shed") return none("overload");
+  const { exclude } = screened;
+  const untried = tried.size === 0 ? exclude : new Set([...exclude, ...tried]);
+  const query = { service, candidates, exclude: untried };
+  const choice = choose(relay.routing, query, now, relay.random);
+  if (choice.kind === "chosen") return choice;
+  // With few servers one that failed before is better than none.
+  const again = choose(
     relay.routing,
-    { service, candidates, exclude: all ? shed : exclude },
+    { service, candidates, exclude },
     now,
     relay.random,
   );
-  if (choice.kind === "none") {
-    return none(shed.size > 0 ? "overload" : "no-server");
+  if (again.kind === "chosen") return again;
+  return none(exclude.size > 0 ? "overload" : "no-server");
+}
+
+const addresses = new WeakMap<readonly Candidate[], string[]>();
+
+/** The list of candidates keeps its identity until one of them changes. */
+function addressesOf(candidates: readonly Candidate[]): string[] {
+  let known = addresses.get(candidates);
+  if (known === undefined) {
+    known = candidates.map(({ address }) => address);
+    addresses.set(candidates, known);
   }
-  return choice;
+  return known;
 }
 
 function none(reason: "no-server" | "unknown-service" | "overload"): Pick {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -4,6 +4,7 @@
 import type { Random } from "../core/random.ts";
 import type { Ledger } from "../execution/ledger.ts";
 import type { Announcement } from "../membership/announcement.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import type { Candidate } from "../routing/candidate.ts";
 import type { Routing } from "../routing/routing.ts";
 import type { ServiceRule } from "../rules/service_rule.ts";
@@ -18,6 +19,7 @@
   clock: () => number;
   random: Random;
   log: Logger;
+  metrics: Metrics;
   routing: Routing;
   shedding: Shedding;
   ledger: Ledger;
--- a/src/relay/send_attempt.ts
+++ b/src/relay/send_attempt.ts
@@ -4,23 +4,21 @@
 import { reclaim } from "../retries/reclaim.ts";
 import { spend } from "../retries/spend.ts";
 import { begin } from "../routing/begin.ts";
-import { end } from "../routing/end.ts";
-import { learn } from "../shedding/learn.ts";
 import type { Attempt } from "./attempt.ts";
+import { endForwarding } from "./end_forwarding.ts";
 import type { Feedback } from "./feedback.ts";
 import { finishForwarding } from "./finish_forwarding.ts";
 import type { Forwarding } from "./forwarding.ts";
 import { handleInbound } from "./inbound.ts";
-import { isRetryable } from "./is_retryable.ts";
+import { learnFrom } from "./learn_from.ts";
+import { noFeedback } from "./no_feedback.ts";
 import type { Relay } from "./relay.ts";
 import { sendRemote } from "./remote.ts";
 import type { Reply } from "./reply.ts";
-import { stockTokens } from "./stock_tokens.ts";
+import { takesRetry } from "./takes_retry.ts";
+import type { Target } from "./target.ts";
 import { tokensWanted } from "./tokens_wanted.ts";
 
-/** Where an attempt goes. */
-type Target = { address: string; token: string | null };
-
 /** Sends one attempt and decides, by how it ends, whether another follows. */
 export function sendAttempt(
   relay: Relay,
@@ -30,17 +28,22 @@
   const { call } = forwarding;
   const { address } = target;
   forwarding.attempts += 1;
+  const number = forwarding.attempts;
   const allocated = allocate(call.account);
   const attempt = createAttempt(relay, forwarding, target, allocated);
   begin(relay.routing, address, relay.clock());
   const settle = (outcome: Outcome, feedback: Feedback) => {
+    forwarding.abandon = null;
     reclaim(call.account, { allocated, unspent: feedback.unspent });
     learnFrom(relay, call.service, { address, outcome, feedback });
   };
-  const reply = attemptReply(relay, forwarding, { address, settle });
-  forwarding.exchange = address === relay.address
+  forwarding.abandon = (outcome) => settle(outcome, noFeedback);
+  const reply = attemptReply(relay, forwarding, { target, settle });
+  const exchange = address === relay.address
     ? handleInbound(relay, attempt, reply)
     : sendRemote(relay, { attempt, address }, reply);
+  // A rejection at once may have started the next attempt already.
+  if (forwarding.attempts === number) forwarding.exchange = exchange;
 }
 
 function createAttempt(
@@ -65,62 +68,48 @@
   };
 }
 
-function learnFrom(
-  relay: Relay,
-  service: string,
-  { address, outcome, feedback }: {
-    address: string;
-    outcome: Outcome;
-    feedback: Feedback;
-  },
-): void {
-  const now = relay.clock();
-  end(relay.routing, { address, outcome, load: feedback.load }, now);
-  stockTokens(relay, address, feedback.tokens);
-  const { level } = feedback;
-  if (level !== null) {
-    learn(relay.shedding, { service, daemon: address, level }, now);
-  }
-}
-
+/** Follows one attempt; `settle` is called once, when its outcome is known. */
 function attemptReply(
   relay: Relay,
   forwarding: Forwarding,
-  { address, settle }: {
-    address: string;
+  { target, settle }: {
+    target: Target;
     settle: (outcome: Outcome, feedback: Feedback) => void;
   },
 ): Reply {
   const { reply } = forwarding;
-  let started = false;
+  let answered: Outcome | null = null;
   let discarding = false;
   const retry = (outcome: Outcome) => {
     forwarding.known = combine(forwarding.known, outcome);
-    forwarding.tried.add(address);
+    forwarding.tried.add(target.address);
     forwarding.next();
   };
   return {
     start(head) {
-      started = true;
-      const outcome = { kind: "answered", status: head.status } as const;
-      settle(outcome, head.feedback);
-      discarding = takesRetry(relay, forwarding, outcome, head.feedback);
-      if (discarding) forwarding.known = outcome;
-      else reply.start(head);
+      answered = { kind: "answered", status: head.status };
+      settle(answered, head.feedback);
+      const ending = { outcome: answered, feedback: head.feedback };
+      discarding = takesRetry(relay, forwarding, ending);
+      if (!discarding) reply.start(head);
     },
     data: (chunk) => discarding || reply.data(chunk),
     end() {
-      if (discarding) return retry(forwarding.known!);
-      forwarding.ended = true;
-      relay.open.delete(forwarding.open);
-      reply.end();
+      if (discarding) return retry(answered!);
+      if (endForwarding(relay, forwarding, answered!)) reply.end();
     },
     fail(outcome, feedback) {
       if (discarding) return retry(outcome);
-      if (started) return finishForwarding(relay, forwarding, outcome);
+      if (answered !== null) {
+        return finishForwarding(relay, forwarding, outcome);
+      }
       settle(outcome, feedback);
       if (feedback.overloadedBelow) forwarding.call.overloadedBelow();
-      if (takesRetry(relay, forwarding, outcome, feedback)) {
+      if (resends(relay, forwarding, { outcome, target })) {
+        forwarding.known = combine(forwarding.known, outcome);
+        return sendAttempt(relay, forwarding, target);
+      }
+      if (takesRetry(relay, forwarding, { outcome, feedback })) {
         return retry(outcome);
       }
       finishForwarding(relay, forwarding, outcome);
@@ -128,15 +117,18 @@
   };
 }
 
-/** Returns whether another attempt follows; its retry is spent then. */
-function takesRetry(
+/**
+ * Returns whether the same token is sent again after its connection was lost:
+ * the daemon then joins the execution in progress or repeats its response.
+ */
+function resends(
   relay: Relay,
   { call, ended }: Forwarding,
-  outcome: Outcome,
-  feedback: Feedback,
+  { outcome, target }: { outcome: Outcome; target: Target },
 ): boolean {
-  if (ended || feedback.overloadedBelow || !isRetryable(outcome, call)) {
+  if (ended || target.token === null || outcome.kind !== "unknown") {
     return false;
   }
+  if (outcome.reason !== "connection-lost") return false;
   return relay.clock() < call.context.deadlineAt && spend(call.account);
 }
--- /dev/null
+++ b/src/relay/takes_retry.ts
@@ -0,0 +1,53 @@
+import type { Outcome } from "../outcomes/outcome.ts";
+import { priority } from "../context/priority.ts";
+import { spend } from "../retries/spend.ts";
+import { permitsRetry } from "../shedding/permits_retry.ts";
+import type { Feedback } from "./feedback.ts";
+import type { Forwarding } from "./forwarding.ts";
+import { isRetryable } from "./is_retryable.ts";
+import type { Relay } from "./relay.ts";
+
+/** How an attempt ended. */
+type Ending = { outcome: Outcome; feedback: Feedback };
+
+/**
+ * Returns whether an attempt at another daemon follows; its retry is spent
+ * then.
+ */
+export function takesRetry(
+  relay: Relay,
+  forwarding: Forwarding,
+  { outcome, feedback }: Ending,
+): boolean {
+  const { call, ended, known } = forwarding;
+  const now = relay.clock();
+  if (ended || now >= call.context.deadlineAt) return false;
+  if (feedback.overloadedBelow || !isRetryable(outcome, call)) return false;
+  // An earlier attempt may have run: another token could run it again.
+  if (known?.kind === "unknown" && !call.rule.idempotent) return false;
+  const overloaded = outcome.kind === "not-run" &&
+    outcome.reason === "overload";
+  if (overloaded && !othersPermit(relay, forwarding, feedback.level, now)) {
+    return false;
+  }
+  return spend(call.account);
+}
+
+/** An overload rejection is not retried against the same admission level. */
+function othersPermit(
+  relay: Relay,
+  { call, tried }: Forwarding,
+  level: number | null,
+  now: number,
+): boolean {
+  const { service, context } = call;
+  const wanted = priority(context);
+  return relay.candidates(service).some(({ address }) =>
+    !tried.has(address) && permitsRetry(relay.shedding, {
+      service,
+      daemon: address,
+      priority: wanted,
+      rejectedAt: level ?? 0,
+    }, now)
+  );
+}
