Merge platform: at-most-once ledger, key claims, token stock

Change: nested calls are bound to the token of their step, Idempotency-Key to a claim in the table; a declared non-idempotent request without token, key or step is rejected as token-required, because nothing could recognize its resend. claimKey reported not-run while the platform is down; an earlier send of the same key may have run, so that told callers something untrue.

--- a/fleet/run_load.ts
+++ b/fleet/run_load.ts
@@ -3,6 +3,7 @@
 import type { Deployment } from "../deployments/deployment.ts";
 import type { Sample } from "./sample.ts";
 import { sendRequest } from "./send_request.ts";
+import { takeToken } from "./take_token.ts";
 
 /** An open-loop load: arrivals do not wait for responses. */
 type Load = {
@@ -22,6 +23,7 @@
 
 const STEP_MS = 5;
 const CONNECTIONS = 2_000;
+const FAILED = { result: "failed", reason: "" } as const;
 
 /** Runs a load and returns a sample for each request. */
 export async function runLoad(load: Load): Promise<Sample[]> {
@@ -57,23 +59,22 @@
   const key = `${load.prefix}-${number}`;
   const began = performance.now();
   let sends = 0;
-  let last = { result: "failed", reason: "" } as Pick<
-    Sample,
-    "result" | "reason"
-  >;
+  let last: Pick<Sample, "result" | "reason"> = FAILED;
+  let token: string | null = null;
   while (sends <= load.resends) {
     sends += 1;
-    last = await sendRequest(pool, {
-      method: kind.method,
-      path: kind.path,
-      key,
-      headers: { "nutmegmoor-request": key },
-      timeoutMs: load.timeoutMs,
-    });
+    const headers: Record<string, string> = { "nutmegmoor-request": key };
+    if (kind.method !== "GET") {
+      // Only a token that was certainly not run may be replaced.
+      if (token === null || last.result === "not-run") {
+        token = await takeToken(pool, kind.path, load.timeoutMs);
+      }
+      if (token !== null) headers["nutmegmoor-token"] = token;
+    }
+    const { method, path } = kind;
+    const { timeoutMs } = load;
+    last = await sendRequest(pool, { method, path, key, headers, timeoutMs });
     if (last.result === "good") break;
-    // What may have run must not be sent again without an execution token.
-    const repeatable = kind.method === "GET" || last.result === "not-run";
-    if (!repeatable) break;
   }
   return {
     name: kind.name,
--- a/fleet/send_request.ts
+++ b/fleet/send_request.ts
@@ -10,7 +10,7 @@
   timeoutMs: number;
 };
 
-type Result = Pick<Sample, "result" | "reason"> & { token: string | null };
+type Result = Pick<Sample, "result" | "reason">;
 
 /** Sends a request and checks that the response is whole and its own. */
 export async function sendRequest(pool: Pool, send: Send): Promise<Result> {
@@ -24,19 +24,18 @@
     const body = await response.body.text();
     const outcome = String(response.headers["nutmegmoor-outcome"]);
     const reason = String(response.headers["nutmegmoor-reason"] ?? "");
-    const token = null;
     if (response.statusCode === 200) {
       return isOwn(body, send.key)
-        ? { result: "good", reason: "", token }
-        : { result: "wrong", reason: body.slice(0, 80), token };
+        ? { result: "good", reason: "" }
+        : { result: "wrong", reason: body.slice(0, 80) };
     }
     if (outcome === "not-run" || outcome === "unknown") {
-      return { result: outcome, reason, token };
+      return { result: outcome, reason };
     }
-    return { result: "failed", reason: String(response.statusCode), token };
+    return { result: "failed", reason: String(response.statusCode) };
   } catch (error) {
     const reason = (error as Error).name;
-    return { result: "unknown", reason, token: null };
+    return { result: "unknown", reason };
   }
 }
 
--- a/src/daemon/create_relay.ts
+++ b/src/daemon/create_relay.ts
@@ -1,6 +1,7 @@
 import { createLogger } from "../core/create_logger.ts";
-import type { Ledger } from "../execution/ledger.ts";
+import { createStock } from "../execution/create_stock.ts";
 import type { Relay } from "../relay/relay.ts";
+import { createResends } from "../retries/create_resends.ts";
 import { createRouting } from "../routing/create_routing.ts";
 import type { Settings } from "../settings/settings.ts";
 import { createShedding } from "../shedding/create_shedding.ts";
@@ -11,7 +12,8 @@
 type Parts =
   & Pick<Relay, "clock" | "random" | "isLeaving" | "metrics">
   & Pick<Relay, "candidates" | "serviceRule">
-  & { settings: Settings; ledger: Ledger };
+  & Pick<Relay, "ledger" | "table">
+  & { settings: Settings };
 
 /** Creates the data path of a daemon. */
 export function createRelay({ settings, ...parts }: Parts): Relay {
@@ -27,7 +29,8 @@
     admission: null,
     serverPool: null,
     peerPools: new Map(),
-    tokens: new Map(),
+    stock: createStock(),
+    resends: createResends(),
     parents: new Map(),
     open: new Set(),
     lastId: 0,
--- a/src/daemon/ingress_app.ts
+++ b/src/daemon/ingress_app.ts
@@ -1,36 +1,38 @@
 import type { RequestListener, ServerResponse } from "node:http";
-import { obtainToken } from "../relay/obtain_token.ts";
+import { obtainTokens } from "../relay/obtain_tokens.ts";
 import { pickForToken } from "../relay/pick_for_token.ts";
 import type { Relay } from "../relay/relay.ts";
+import { tokenCount } from "./token_count.ts";
 
 const TOKENS = /^\/-\/tokens\/([a-z][a-z0-9-]{0,63})$/;
 
 /** Routes under `/-/` of the ingress listener. */
 export function ingressApp({ relay }: { relay: Relay }): RequestListener {
-  return (request, response) => {
+  return async (request, response) => {
     request.resume();
-    const service = TOKENS.exec(request.url ?? "")?.[1];
+    const url = new URL(request.url ?? "/", "http://daemon");
+    const service = TOKENS.exec(url.pathname)?.[1];
     if (service === undefined) {
       return send(response, 404, { error: "Unknown path" });
     }
     if (request.method !== "POST") {
-      return send(response, 405, { error: "Use POST to get a token" });
+      return send(response, 405, { error: "Use POST to get tokens" });
     }
     const address = pickForToken(relay, service);
     if (address === null) {
       return send(response, 503, { error: `No server of service ${service}` });
     }
-    obtainToken(relay, address, (token) => {
-      if (token !== null) return send(response, 200, { token });
-      send(response, 503, { error: `Daemon ${address} gave no token` });
-    });
+    const count = tokenCount(url.searchParams);
+    const tokens = await obtainTokens(relay, { address, count });
+    if (tokens.length > 0) return send(response, 200, { tokens });
+    send(response, 503, { error: `Daemon ${address} gave no token` });
   };
 }
 
 function send(
   response: ServerResponse,
   status: number,
-  body: { token: string } | { error: string },
+  body: { tokens: string[] } | { error: string },
 ): void {
   const text = JSON.stringify(body);
   response.writeHead(status, {
--- a/src/daemon/open_listeners.ts
+++ b/src/daemon/open_listeners.ts
@@ -17,6 +17,7 @@
 const KIB = 1024;
 const RESERVED = "/-/";
 const CONTROL = "/-/rpc/";
+const TOKENS = "/-/tokens/";
 
 /** Opens the three listeners of a daemon. */
 export function openListeners(
@@ -42,6 +43,7 @@
       handleIngress(relay, request, response);
     }, { host, port: daemon.ingressPort, maxHeaderSize }),
     listen((request, response) => {
+      if (isUnder(TOKENS, request.url)) return ingress(request, response);
       if (isUnder(RESERVED, request.url)) return local(request, response);
       handleOutbound(relay, request, response);
     }, { host: daemon.localAddress, port: daemon.localPort, maxHeaderSize }),
--- a/src/daemon/peer_app.ts
+++ b/src/daemon/peer_app.ts
@@ -1,8 +1,7 @@
 import type { RequestListener, ServerResponse } from "node:http";
 import { issueToken } from "../execution/issue_token.ts";
 import type { Relay } from "../relay/relay.ts";
-
-const MAX_TOKENS = 16;
+import { tokenCount } from "./token_count.ts";
 
 /** Routes under `/-/` of the peer listener. */
 export function peerApp({ relay }: { relay: Relay }): RequestListener {
@@ -24,25 +23,11 @@
     const running = relay.parents.has(attempt);
     send(response, 200, running ? "running" : "not-known");
   },
-  "/-/entry": (relay, _query, response) => {
-    const { server } = relay;
-    const leaving = relay.isLeaving() || server?.state === "leaving";
-    const entry = server === null || leaving ? null : {
-      address: relay.address,
-      dataCentre: relay.routing.dataCentre,
-      service: server.service,
-      slots: server.slots,
-      since: 0,
-      warmupMs: server.warmupMs,
-    };
-    send(response, 200, JSON.stringify(entry));
-  },
   "/-/tokens": (relay, query, response) => {
     if (relay.isLeaving() || relay.server === null) {
       return send(response, 503, "leaving");
     }
-    const wanted = Number(query.get("count") ?? 1);
-    const count = Math.max(1, Math.min(MAX_TOKENS, Math.floor(wanted) || 1));
+    const count = tokenCount(query);
     const now = relay.clock();
     const tokens = Array.from(
       { length: count },
--- a/src/outcomes/outcome.ts
+++ b/src/outcomes/outcome.ts
@@ -14,8 +14,6 @@
   "token-invalid",
   "token-required",
   "parent-repeatable",
-  "platform-down",
-  "resend-limit",
   "cancelled",
   "too-large",
   "server-shed",
@@ -31,6 +29,8 @@
   "old-incarnation",
   "response-gone",
   "cancelled",
+  "resend-limit",
+  "platform-down",
 ]);
 
 /** What became of a request or of one attempt at it. */
--- a/src/outcomes/status.ts
+++ b/src/outcomes/status.ts
@@ -9,7 +9,12 @@
   "token-expired": 409,
   "token-revoked": 409,
   "too-large": 413,
+};
+
+const UNKNOWN_STATUS: Partial<Record<string, number>> = {
+  "deadline": 504,
   "resend-limit": 429,
+  "platform-down": 503,
 };
 
 const STATUS: {
@@ -19,7 +24,7 @@
 } = {
   "answered": (outcome) => outcome.status,
   "not-run": (outcome) => NOT_RUN_STATUS[outcome.reason] ?? 503,
-  "unknown": (outcome) => outcome.reason === "deadline" ? 504 : 502,
+  "unknown": (outcome) => UNKNOWN_STATUS[outcome.reason] ?? 502,
 };
 
 /** Returns the HTTP status that tells a caller of an outcome. */
--- a/src/relay/call.ts
+++ b/src/relay/call.ts
@@ -1,3 +1,4 @@
+import type { Binding } from "./binding.ts";
 import type { Context } from "../context/context.ts";
 import type { Account } from "../retries/account.ts";
 import type { RequestRule } from "../rules/request_rule.ts";
@@ -18,6 +19,8 @@
    * the caller may have run, whatever happens to this one.
    */
   callerToken: boolean;
+  /** Binds a request without a token of its own; null: any fresh token does. */
+  binding: Binding | null;
   /** Told when a hop below rejected for overload. */
   overloadedBelow: () => void;
 };
--- a/src/relay/call_request.ts
+++ b/src/relay/call_request.ts
@@ -1,22 +1,14 @@
 import type { IncomingMessage } from "node:http";
 import { findRule } from "../rules/find_rule.ts";
-import type { RequestRule } from "../rules/request_rule.ts";
 import type { Relay } from "./relay.ts";
 import { serviceOf } from "./service_of.ts";
-
-/** What a request from a caller or backend server asks for. */
-type CallRequest = {
-  service: string;
-  method: string;
-  path: string;
-  rule: RequestRule;
-};
+import type { Wanted } from "./wanted.ts";
 
 /** Reads service and rule of a request; null where the path names no service. */
 export function callRequest(
   relay: Relay,
   request: IncomingMessage,
-): CallRequest | null {
+): Wanted | null {
   const path = request.url ?? "/";
   const method = request.method ?? "GET";
   const service = serviceOf(path);
--- /dev/null
+++ b/src/relay/find_target.ts
@@ -0,0 +1,78 @@
+import { parseToken } from "../execution/parse_token.ts";
+import type { Outcome } from "../outcomes/outcome.ts";
+import type { Forwarding } from "./forwarding.ts";
+import { logRoute } from "./log_route.ts";
+import { obtainToken } from "./obtain_token.ts";
+import { pickDaemon } from "./pick_daemon.ts";
+import type { Relay } from "./relay.ts";
+import type { Target } from "./target.ts";
+
+/** Called with the target of the next attempt, or why there is none. */
+type Done = (found: Target | Outcome) => void;
+
+/** Finds out where the next attempt goes and which token it carries. */
+export function findTarget(
+  relay: Relay,
+  forwarding: Forwarding,
+  done: Done,
+): void {
+  const { call, refused } = forwarding;
+  if (call.callerToken) {
+    return done(owner(relay, forwarding, call.context.token ?? ""));
+  }
+  if (call.binding === null) return pickTarget(relay, forwarding, done);
+  call.binding({ fresh: null, refused }, (bound) => {
+    if (bound.kind === "rejected") return done(bound.outcome);
+    if (bound.kind === "token") {
+      return done(owner(relay, forwarding, bound.token));
+    }
+    pickTarget(relay, forwarding, done);
+  });
+}
+
+/** A token can run only at the daemon that it names. */
+function owner(
+  relay: Relay,
+  forwarding: Forwarding,
+  token: string,
+): Target | Outcome {
+  const parsed = parseToken(token);
+  if (parsed === null) return { kind: "not-run", reason: "token-invalid" };
+  const { address } = parsed;
+  logRoute(relay, forwarding, {
+    daemon: address,
+    reason: "token",
+    considered: 1,
+  });
+  return { address, token, fresh: false };
+}
+
+function pickTarget(relay: Relay, forwarding: Forwarding, done: Done): void {
+  const { call, refused } = forwarding;
+  const pick = pickDaemon(relay, call, forwarding.tried);
+  if (pick.kind === "none") {
+    logRoute(relay, forwarding, { reason: pick.reason, considered: 0 });
+    return done(pick.outcome);
+  }
+  const { address } = pick.candidate;
+  const { reason, considered } = pick;
+  logRoute(relay, forwarding, { daemon: address, reason, considered });
+  if (call.rule.idempotent) {
+    return done({ address, token: null, fresh: true });
+  }
+  obtainToken(relay, address, (fresh) => {
+    if (fresh === null) {
+      return done({ kind: "not-run", reason: "connect-failed" });
+    }
+    if (call.binding === null) {
+      return done({ address, token: fresh, fresh: true });
+    }
+    call.binding({ fresh, refused }, (bound) => {
+      if (bound.kind === "rejected") return done(bound.outcome);
+      if (bound.kind === "missing" || bound.token === fresh) {
+        return done({ address, token: fresh, fresh: true });
+      }
+      done(owner(relay, forwarding, bound.token));
+    });
+  });
+}
--- a/src/relay/finish_forwarding.ts
+++ b/src/relay/finish_forwarding.ts
@@ -25,11 +25,10 @@
   if (outcome.kind === "answered") {
     return { kind: "unknown", reason: "response-gone" };
   }
-  // Only the ledger of the token's own daemon knows that no earlier send of
-  // the caller ran.
-  const byLedger = forwarding.attempts > 0 &&
-    outcome.reason !== "connect-failed";
-  if (outcome.kind === "not-run" && forwarding.call.callerToken && !byLedger) {
+  // An earlier send of the caller's own token may have run; only the daemon
+  // that the token names can tell.
+  const { attempts, call } = forwarding;
+  if (outcome.kind === "not-run" && call.callerToken && attempts === 0) {
     return { kind: "unknown", reason: "connection-lost" };
   }
   return outcome;
--- a/src/relay/forwarding.ts
+++ b/src/relay/forwarding.ts
@@ -19,6 +19,8 @@
   known: Outcome | null;
   /** Daemons that an attempt has failed at. */
   tried: Set<string>;
+  /** Token that its own daemon reported as not run. */
+  refused: string | null;
   ended: boolean;
   /** Starts the next attempt, at whatever daemon is best. */
   next: () => void;
--- /dev/null
+++ b/src/relay/identity.ts
@@ -0,0 +1,7 @@
+import type { Outcome } from "../outcomes/outcome.ts";
+import type { Call } from "./call.ts";
+
+/** How resends of a request are recognized, or why it is rejected. */
+export type Identity =
+  | { ok: true; value: Pick<Call, "callerToken" | "binding"> }
+  | { ok: false; outcome: Outcome; detail?: string };
--- a/src/relay/inbound.ts
+++ b/src/relay/inbound.ts
@@ -37,7 +37,7 @@
     return reject(relay, attempt, reply, known.outcome);
   }
   if (known.kind === "seen") {
-    return joinExecution(relay, { attempt, execution: known.execution }, reply);
+    return joinExecution(relay, { attempt, nonce: known.nonce }, reply);
   }
   return admit(relay, { attempt, nonce: known.nonce }, reply);
 }
--- a/src/relay/is_retryable.ts
+++ b/src/relay/is_retryable.ts
@@ -12,7 +12,6 @@
   "token-invalid",
   "token-required",
   "parent-repeatable",
-  "resend-limit",
 ]);
 
 /** Returns whether another attempt after this outcome does no harm. */
--- a/src/relay/join_execution.ts
+++ b/src/relay/join_execution.ts
@@ -1,5 +1,6 @@
 import type { CachedResponse } from "../execution/cached_response.ts";
-import type { Execution } from "../execution/execution.ts";
+import { joinExecution as join } from "../execution/join_execution.ts";
+import { leaveExecution } from "../execution/leave_execution.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
 import type { Attempt } from "./attempt.ts";
 import type { Exchange } from "./exchange.ts";
@@ -7,16 +8,18 @@
 import type { Relay } from "./relay.ts";
 import type { Reply } from "./reply.ts";
 
-/** Answers a resend from the run of its execution token. */
+/** Answers a resend from the execution of its token. */
 export function joinExecution(
   relay: Relay,
-  { attempt, execution }: { attempt: Attempt; execution: Execution },
+  { attempt, nonce }: { attempt: Attempt; nonce: string },
   reply: Reply,
 ): Exchange {
-  let gone = false;
-  const give = (result: CachedResponse | Outcome) => {
-    if (gone) return;
+  const leave = () => {
     relay.open.delete(open);
+    leaveExecution(relay.ledger, nonce, give);
+  };
+  const give = (result: CachedResponse | Outcome) => {
+    leave();
     const feedback = inboundFeedback(relay, attempt, null);
     if ("kind" in result) return reply.fail(result, feedback);
     reply.start({ ...result, feedback });
@@ -27,15 +30,9 @@
     deadlineAt: attempt.context.deadlineAt,
     expire: () => give({ kind: "unknown", reason: "deadline" }),
   };
-  if (execution.state === "finished") give(execution.response);
-  else if (execution.state === "ended") give(execution.outcome);
-  else {
-    relay.open.add(open);
-    execution.waiters.push(give);
-  }
-  const cancel = () => {
-    gone = true;
-    relay.open.delete(open);
-  };
-  return { cancel, resume: () => {} };
+  relay.log("join", { attempt: attempt.context.attemptId, nonce });
+  const result = join(relay.ledger, nonce, give);
+  if (result === null) relay.open.add(open);
+  else give(result);
+  return { cancel: leave, resume: () => {} };
 }
--- a/src/relay/learn_from.ts
+++ b/src/relay/learn_from.ts
@@ -1,9 +1,9 @@
+import { stockTokens } from "../execution/stock_tokens.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
 import { end } from "../routing/end.ts";
 import { learn } from "../shedding/learn.ts";
 import type { Feedback } from "./feedback.ts";
 import type { Relay } from "./relay.ts";
-import { stockTokens } from "./stock_tokens.ts";
 
 /** How an attempt at a daemon ended. */
 type Ending = { address: string; outcome: Outcome; feedback: Feedback };
@@ -16,7 +16,10 @@
 ): void {
   const now = relay.clock();
   end(relay.routing, { address, outcome, load: feedback.load }, now);
-  stockTokens(relay, address, feedback.tokens);
+  const { tokens } = feedback;
+  if (tokens.length > 0) {
+    stockTokens(relay.stock, { peer: address, tokens }, now);
+  }
   const { level } = feedback;
   if (level !== null) {
     learn(relay.shedding, { service, daemon: address, level }, now);
--- /dev/null
+++ b/src/relay/obtain_tokens.ts
@@ -0,0 +1,27 @@
+import { issueToken } from "../execution/issue_token.ts";
+import { peerPool } from "./peer_pool.ts";
+import type { Relay } from "./relay.ts";
+
+const TIMEOUT_MS = 500;
+
+/** Gets new execution tokens from a daemon; none where it gave none. */
+export async function obtainTokens(
+  relay: Relay,
+  { address, count }: { address: string; count: number },
+): Promise<string[]> {
+  if (address === relay.address) {
+    const now = relay.clock();
+    return Array.from({ length: count }, () => issueToken(relay.ledger, now));
+  }
+  try {
+    const { statusCode, body } = await peerPool(relay, address).request({
+      method: "POST",
+      path: `/-/tokens?count=${count}`,
+      signal: AbortSignal.timeout(TIMEOUT_MS),
+    });
+    const text = await body.text();
+    return statusCode === 200 ? text.split(" ") : [];
+  } catch {
+    return [];
+  }
+}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -3,8 +3,11 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { Ledger } from "../execution/ledger.ts";
+import type { Stock } from "../execution/stock.ts";
 import type { Announcement } from "../membership/announcement.ts";
 import type { Metrics } from "../metrics/metrics.ts";
+import type { TableService } from "../platform/table_service.ts";
+import type { Resends } from "../retries/resends.ts";
 import type { Candidate } from "../routing/candidate.ts";
 import type { Routing } from "../routing/routing.ts";
 import type { ServiceRule } from "../rules/service_rule.ts";
@@ -23,6 +26,9 @@
   routing: Routing;
   shedding: Shedding;
   ledger: Ledger;
+  resends: Resends;
+  /** For claims by key; null where the settings name no platform. */
+  table: TableService | null;
   /** The own backend server, or null while none announces itself. */
   server: Announcement | null;
   admission: Admission | null;
@@ -30,8 +36,8 @@
   serverPool: Pool | null;
   /** Connections to other daemons, by address. */
   peerPools: Map<string, Pool>;
-  /** Execution tokens issued in advance by other daemons, by address. */
-  tokens: Map<string, { token: string; until: number }[]>;
+  /** Execution tokens issued in advance by other daemons. */
+  stock: Stock;
   /** Inbound requests in progress, by attempt id. */
   parents: Map<string, Parent>;
   /** Everything that has a deadline. */
--- a/src/relay/target.ts
+++ b/src/relay/target.ts
@@ -1,2 +1,7 @@
 /** Where an attempt goes, and the execution token it carries. */
-export type Target = { address: string; token: string | null };
+export type Target = {
+  address: string;
+  token: string | null;
+  /** Whether this is the first send of the token, so that it cannot have run. */
+  fresh: boolean;
+};
--- /dev/null
+++ b/src/relay/wanted.ts
@@ -0,0 +1,9 @@
+import type { RequestRule } from "../rules/request_rule.ts";
+
+/** What a request from a caller or backend server asks for. */
+export type Wanted = {
+  service: string;
+  method: string;
+  path: string;
+  rule: RequestRule;
+};
--- a/src/routing/verdict.ts
+++ b/src/routing/verdict.ts
@@ -8,7 +8,6 @@
   "cancelled",
   "deadline",
   "unknown-service",
-  "resend-limit",
 ]);
 
 /** A daemon without its server rejects fast, which makes it look idle. */
