--- a/src/execution/execution_test.ts
+++ b/src/execution/execution_test.ts
@@ -4,6 +4,7 @@
 import { createLedger } from "./create_ledger.ts";
 import { createStock } from "./create_stock.ts";
 import { deriveToken } from "./derive_token.ts";
+import { dropTokens } from "./drop_tokens.ts";
 import { finishExecution } from "./finish_execution.ts";
 import { issueToken } from "./issue_token.ts";
 import { joinExecution } from "./join_execution.ts";
@@ -155,6 +156,8 @@
   }
   t.is(stock.peers.size, 256);
   t.is(stock.peers.get("299")?.tokens.length, 16);
+  dropTokens(stock, "299");
+  t.is(takeToken(stock, "299", 0), null);
 });
 
 const ledgers = new Map<string, Ledger>();
--- a/src/platform/clients_test.ts
+++ b/src/platform/clients_test.ts
@@ -89,7 +89,7 @@
   t.is((await table.get(KEY)).kind, "unavailable");
 });
 
-test("outage, throttling or a wrong key leaves a write unknown", async (t) => {
+test("outage, wrong key or closed client leaves a write unknown", async (t) => {
   const { standin, table, control } = await tables(t);
   await control({ mode: "down", count: 2 });
   t.is((await table.transact([insert("a")])).kind, "unavailable");
@@ -102,10 +102,25 @@
   });
   t.is((await other.transact([insert("a")])).kind, "unavailable");
   await other.close();
+  t.is((await other.transact([insert("a")])).kind, "unavailable");
   await standin.close();
   t.is((await table.transact([insert("a")])).kind, "unavailable");
 });
 
+test("throttled write is reported as unknown or takes effect", async (t) => {
+  const { table, control } = await tables(t);
+  await control({ mode: "up", writesPerSecond: 1 });
+  const kinds = new Set<string>();
+  // Of any 2 writes within one second, the second is throttled.
+  for (let write = 0; !kinds.has("unavailable"); write++) {
+    const { kind } = await table.transact([insert(`${write}`)]);
+    kinds.add(kind);
+    const row = await table.get({ partition: "p", sort: `${write}` });
+    t.is(row.kind, kind === "written" ? "found" : "absent");
+  }
+  t.false(kinds.has("unknown"));
+});
+
 test("stale mode shows rows written after it was set", async (t) => {
   const { table, control } = await tables(t);
   await control({ mode: "stale" });
