Give up stalled connections after a probe on a new one

Cause: a connection that a device between two daemons has forgotten stays open and silent for ever, while new ones work; attempts on it ended with their deadline only. Change: attempts without progress for a second are asked about on a new connection, all of one daemon with one probe; a finished, unknown or unreachable attempt loses its connection, a running one gets twice the time.

--- a/src/daemon/create_relay.ts
+++ b/src/daemon/create_relay.ts
@@ -31,7 +31,9 @@
     peerPools: new Map(),
     stock: createStock(),
     resends: createResends(),
+    remotes: new Set(),
     parents: new Map(),
+    joined: new Set(),
     open: new Set(),
     lastId: 0,
     limits: {
--- a/src/daemon/peer_app.ts
+++ b/src/daemon/peer_app.ts
@@ -19,9 +19,11 @@
   (relay: Relay, query: URLSearchParams, response: ServerResponse) => void
 > = {
   "/-/alive": (relay, query, response) => {
-    const attempt = query.get("attempt") ?? "";
-    const running = relay.parents.has(attempt);
-    send(response, 200, running ? "running" : "not-known");
+    const attempts = (query.get("attempt") ?? "").split(",");
+    const running = attempts.filter((id) =>
+      relay.parents.has(id) || relay.joined.has(id)
+    );
+    send(response, 200, running.join(","));
   },
   "/-/tokens": (relay, query, response) => {
     if (relay.isLeaving() || relay.server === null) {
--- a/src/daemon/start_timers.ts
+++ b/src/daemon/start_timers.ts
@@ -2,13 +2,18 @@
 import { tick } from "../admission/tick.ts";
 import { sweepLedger } from "../execution/sweep_ledger.ts";
 import { keepBootstrap } from "../membership/keep_bootstrap.ts";
+import { checkStalls } from "../relay/check_stalls.ts";
 import { expireOpen } from "../relay/expire_open.ts";
 import { startTickets } from "../relay/start_tickets.ts";
 import { useServer } from "../relay/use_server.ts";
+import { sweepResends } from "../retries/sweep_resends.ts";
+import { sweepObservations } from "../routing/sweep_observations.ts";
+import { sweepShedding } from "../shedding/sweep_shedding.ts";
 import { Token } from "./token.ts";
 
 const DEADLINE_SWEEP_MS = 10;
 const ADMISSION_TICK_MS = 50;
+const STALL_CHECK_MS = 100;
 const SWEEP_MS = 1_000;
 const GOSSIP_MS = 1_000;
 const RULES_TICK_MS = 250;
@@ -29,6 +34,12 @@
       const now = clock();
       startTickets(tick(relay.admission, now), now);
     }, ADMISSION_TICK_MS),
+    setInterval(() => checkStalls(relay, clock()), STALL_CHECK_MS),
+    setInterval(() => sweepResends(relay.resends, clock()), SWEEP_MS),
+    setInterval(() => {
+      sweepObservations(relay.routing, clock());
+      sweepShedding(relay.shedding, clock());
+    }, SWEEP_MS),
     setInterval(() => sweepLedger(relay.ledger, clock()), SWEEP_MS),
     setInterval(() => {
       // The directory notices when the heartbeats of the server end.
--- a/src/relay/join_execution.ts
+++ b/src/relay/join_execution.ts
@@ -14,7 +14,9 @@
   { attempt, nonce }: { attempt: Attempt; nonce: string },
   reply: Reply,
 ): Exchange {
+  const { attemptId } = attempt.context;
   const leave = () => {
+    relay.joined.delete(attemptId);
     relay.open.delete(open);
     leaveExecution(relay.ledger, nonce, give);
   };
@@ -30,9 +32,12 @@
     deadlineAt: attempt.context.deadlineAt,
     expire: () => give({ kind: "unknown", reason: "deadline" }),
   };
-  relay.log("join", { attempt: attempt.context.attemptId, nonce });
+  relay.log("join", { attempt: attemptId, nonce });
   const result = join(relay.ledger, nonce, give);
-  if (result === null) relay.open.add(open);
-  else give(result);
+  if (result !== null) give(result);
+  else {
+    relay.open.add(open);
+    relay.joined.add(attemptId);
+  }
   return { cancel: leave, resume: () => {} };
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -14,6 +14,7 @@
 import type { Shedding } from "../shedding/shedding.ts";
 import type { Open } from "./open.ts";
 import type { Parent } from "./parent.ts";
+import type { RemoteAttempt } from "./remote_attempt.ts";
 
 /** State of the data path of one daemon, and what it needs from others. */
 export type Relay = {
@@ -38,8 +39,12 @@
   peerPools: Map<string, Pool>;
   /** Execution tokens issued in advance by other daemons. */
   stock: Stock;
+  /** Attempts in progress at other daemons. */
+  remotes: Set<RemoteAttempt>;
   /** Inbound requests in progress, by attempt id. */
   parents: Map<string, Parent>;
+  /** Resends that wait for an execution in progress, by attempt id. */
+  joined: Set<string>;
   /** Everything that has a deadline. */
   open: Set<Open>;
   /** Number of the latest id given by `nextId`. */
--- a/src/relay/remote.ts
+++ b/src/relay/remote.ts
@@ -11,8 +11,12 @@
 import { parseFeedback } from "./parse_feedback.ts";
 import { peerPool } from "./peer_pool.ts";
 import type { Relay } from "./relay.ts";
+import type { RemoteAttempt } from "./remote_attempt.ts";
 import type { Reply } from "./reply.ts";
 
+/** Time without progress after which the other daemon is asked, in ms. */
+const FIRST_PATIENCE_MS = 1_000;
+
 /** What the response headers of another daemon say. */
 type Verdict =
   | { kind: "answered"; feedback: Feedback }
@@ -26,6 +30,24 @@
 ): Exchange {
   let failed = false;
   let started = false;
+  const fail = (outcome: Outcome, feedback: Feedback) => {
+    failed = true;
+    relay.remotes.delete(remote);
+    reply.fail(outcome, feedback);
+  };
+  const remote: RemoteAttempt = {
+    attemptId: attempt.context.attemptId,
+    address,
+    progressAt: relay.clock(),
+    paused: false,
+    patienceMs: FIRST_PATIENCE_MS,
+    probing: false,
+    lose() {
+      exchange.cancel();
+      fail(lost(true, started), noFeedback);
+    },
+  };
+  relay.remotes.add(remote);
   const exchange = dispatch(peerPool(relay, address), {
     method: attempt.method,
     path: attempt.path,
@@ -37,6 +59,7 @@
       const verdict = judge(attempt, headers);
       if (verdict.kind === "answered") {
         started = true;
+        remote.progressAt = relay.clock();
         const passed = endToEndHeaders(headers);
         return reply.start({
           status,
@@ -44,18 +67,33 @@
           feedback: verdict.feedback,
         });
       }
-      failed = true;
-      reply.fail(verdict.outcome, verdict.feedback);
+      fail(verdict.outcome, verdict.feedback);
+    },
+    data(chunk) {
+      remote.progressAt = relay.clock();
+      const welcome = failed || reply.data(chunk);
+      remote.paused = !welcome;
+      return welcome;
     },
-    data: (chunk) => failed || reply.data(chunk),
     end() {
+      relay.remotes.delete(remote);
       if (!failed) reply.end();
     },
     fail({ sent }) {
-      if (!failed) reply.fail(lost(sent, started), noFeedback);
+      if (!failed) fail(lost(sent, started), noFeedback);
     },
   });
-  return exchange;
+  return {
+    cancel() {
+      relay.remotes.delete(remote);
+      exchange.cancel();
+    },
+    resume() {
+      remote.paused = false;
+      remote.progressAt = relay.clock();
+      exchange.resume();
+    },
+  };
 }
 
 function remoteHeaders(
