--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -67,6 +67,7 @@
 async function compare(paths: Path[], load: Load, rounds: number) {
   const histograms = paths.map(() => build({ useWebAssembly: false }));
   const cpu = paths.map(() => 0);
+  const rejected = paths.map(() => 0);
   const count = load.gapMs > 0 ? PER_ROUND / 2 : PER_ROUND;
   for (const { pool, path } of paths) {
     for (let index = 0; index < WARM_UP; index++) await get(pool, path);
@@ -74,14 +75,16 @@
   for (let round = 0; round < rounds; round++) {
     for (const [index, { pool, path, members }] of paths.entries()) {
       const before = total(members);
-      await burst({ pool, path }, load, count, (us) => {
+      rejected[index]! += await burst({ pool, path }, load, count, (us) => {
         histograms[index]!.recordValue(Math.max(1, Math.round(us)));
       });
       cpu[index]! += total(members) - before;
     }
   }
   console.log(`\n${load.name}, ${rounds} rounds of ${count} requests`);
-  console.log("path | p50 µs | p90 µs | p99 µs | CPU µs a request | RSS MiB");
+  console.log(
+    "path | p50 µs | p90 µs | p99 µs | CPU µs a request | RSS MiB | rejected",
+  );
   for (const [index, { name, members }] of paths.entries()) {
     const at = (p: number) => histograms[index]!.getValueAtPercentile(p);
     const us = (cpu[index]! * 1000 / (rounds * count)).toFixed(0);
@@ -101,25 +104,30 @@
   load: Load,
   count: number,
   record: (us: number) => void,
-): Promise<void> {
+): Promise<number> {
   let sent = 0;
+  let rejected = 0;
   const worker = async () => {
     while (sent < count) {
       sent += 1;
       const start = performance.now();
-      await get(pool, path);
+      if (!await get(pool, path)) {
+        rejected += 1;
+        continue;
+      }
       record((performance.now() - start) * 1000);
       const rest = load.gapMs - (performance.now() - start);
       if (rest > 0) await new Promise((resolve) => setTimeout(resolve, rest));
     }
   };
   await Promise.all(Array.from({ length: load.concurrency }, worker));
+  return rejected;
 }
 
-async function get(pool: Pool, path: string): Promise<void> {
+async function get(pool: Pool, path: string): Promise<boolean> {
   const { statusCode, body } = await pool.request({ method: "GET", path });
   await body.dump();
-  if (statusCode !== 200) throw new Error(`Status ${statusCode} for ${path}`);
+  return statusCode === 200;
 }
 
 function total(members: Member[]): number {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,8 @@
 
 const BENCHES: Record<string, () => Promise<unknown>> = {
   latency: () => import("./latency.ts"),
+  goodput: () => import("./goodput.ts"),
+  recovery: () => import("./recovery.ts"),
 };
 
 const bench = BENCHES[process.argv[2] ?? ""];
