--- a/src/membership/exchange_test.ts
+++ b/src/membership/exchange_test.ts
@@ -149,7 +149,10 @@
 });
 
 test("member that is alive refutes a wrong verdict", (t) => {
-  for (const verdict of [1, 2] as const) {
+  const cases = [1, 2].flatMap((verdict) =>
+    [true, false].map((asked) => ({ verdict: verdict as 1 | 2, asked }))
+  );
+  for (const { verdict, asked } of cases) {
     const [one, two, three] = installation() as [
       Directory,
       Directory,
@@ -160,7 +163,8 @@
     accuse(one, { address, verdict }, 1);
     t.deepEqual(one.members.get(address)!.entry, before);
     one.news.clear();
-    exchange(one, two, connected, 2);
+    if (asked) exchange(one, two, connected, 2);
+    else exchange(two, one, connected, 2);
     t.true(ownMember(two).entry.sequence > before.sequence);
     exchange(two, three, connected, 3);
     exchange(three, one, connected, 4);
--- a/src/membership/failure_test.ts
+++ b/src/membership/failure_test.ts
@@ -49,6 +49,15 @@
   t.is(candidates(directory, "bookings").length, 7);
 });
 
+test("refuted suspicion is not timed out", (t) => {
+  const directory = populated();
+  const { entry } = directory.members.get("suva:1")!;
+  accuse(directory, { address: "suva:1", verdict: 1 }, 0);
+  merge(directory, [{ ...entry, sequence: 1 }], 1);
+  ticks(directory, 0, 60_000);
+  t.is(directory.members.get("suva:1")!.verdict, 0);
+});
+
 test("suspicion in another data centre is not timed out here", (t) => {
   const directory = populated();
   accuse(directory, { address: "nadi:1", verdict: 1 }, 0);
--- a/src/membership/merge_test.ts
+++ b/src/membership/merge_test.ts
@@ -10,6 +10,7 @@
 import { leave } from "./leave.ts";
 import { merge } from "./merge.ts";
 import { mergeReports } from "./merge_reports.ts";
+import { noteContact } from "./note_contact.ts";
 import { ownMember } from "./own_member.ts";
 import type { Report } from "./report.ts";
 import { tick } from "./tick.ts";
@@ -73,6 +74,7 @@
     candidates(two, "bookings");
     mergeReports(one, reports, 1);
     for (const each of shuffled) mergeReports(two, [each], 1);
+    t.deepEqual(mergeReports(one, shuffled, 1).news, []);
     t.deepEqual(contents(one), contents(two));
     t.is(one.digest, two.digest);
     t.is(one.live, two.live);
@@ -95,6 +97,10 @@
   t.like(candidates(directory, "bookings"), [{ slots: 10, since: 5 }]);
   merge(directory, [entryOf({ incarnation: 2 })], 8);
   t.like(candidates(directory, "bookings"), [{ since: 8 }]);
+  const next = { incarnation: 2, sequence: 1 };
+  merge(directory, [entryOf({ ...next, state: "leaving" })], 9);
+  merge(directory, [entryOf({ ...next, sequence: 2 })], 10);
+  t.like(candidates(directory, "bookings"), [{ since: 10 }]);
 });
 
 test("member that leaves, fails or has no server is no candidate", (t) => {
@@ -201,7 +207,11 @@
 test("daemon that was cut off for long discards its old copy", (t) => {
   const directory = create();
   merge(directory, [entryOf()], 0);
+  const contact = { address: "a:1", dataCentre: "suva", reached: true };
+  noteContact(directory, contact, 1_000);
   tick(directory, TOMBSTONE_MS / 2);
+  t.true(directory.members.has("a:1"));
+  tick(directory, TOMBSTONE_MS / 2 + 1_000);
   t.deepEqual([...directory.members.keys()], ["self:1"]);
   t.is(directory.digest, create().digest);
 });
--- a/src/security/replay_test.ts
+++ b/src/security/replay_test.ts
@@ -47,16 +47,17 @@
     instance: fc.constantFrom("1", "2"),
     counter: fc.nat(60),
   });
-  fc.assert(fc.property(fc.array(arrival, { maxLength: 200 }), (arrivals) => {
-    const window = createReplayWindow("me", { maxSenders: 4 });
+  const arrivals = fc.array(arrival, { size: "max", maxLength: 300 });
+  fc.assert(fc.property(arrivals, fc.constantFrom(4, 9), (all, maxSenders) => {
+    const window = createReplayWindow("me", { maxSenders });
     const accepted = new Set<string>();
-    for (const each of arrivals) {
+    for (const each of all) {
       const key = JSON.stringify([window.generation, each]);
       if (acceptCounter(window, each) === "accepted") {
         t.false(accepted.has(key));
         accepted.add(key);
       }
-      t.true(window.senders.size <= 4);
+      t.true(window.senders.size <= maxSenders);
       for (const { recent } of window.senders.values()) {
         t.true(recent.length <= 16);
       }
