Bound the directory and answer oversized chunked messages

Cause: a member could announce any number of addresses, and ending the read of a chunked body destroyed the connection before the rejection was sent. Change: at most 65,536 members; the body is read without destroying its stream. Conclusion: both limits now have a test.

--- a/src/membership/merge_reports.ts
+++ b/src/membership/merge_reports.ts
@@ -7,6 +7,9 @@
 import { watchSuspect } from "./watch_suspect.ts";
 import type { Report } from "./report.ts";
 
+/** Bounds the directory at about 40 MB, should members announce nonsense. */
+const MAX_MEMBERS = 65_536;
+
 /** What merging found: entries that were news, and addresses told out of date. */
 type Merged = { news: Entry[]; stale: string[] };
 
@@ -28,6 +31,8 @@
     if (order < 0) merged.stale.push(address);
     if (address === directory.identity.address) {
       defend(directory, report, now);
+    } else if (known === undefined && directory.members.size >= MAX_MEMBERS) {
+      continue;
     } else if (order > 0) {
       putReport(directory, report, now);
       if (spread) noteNews(directory, address);
--- a/src/membership/merge_test.ts
+++ b/src/membership/merge_test.ts
@@ -215,3 +215,13 @@
   t.deepEqual([...directory.members.keys()], ["self:1"]);
   t.is(directory.digest, create().digest);
 });
+
+test("directory is bounded", (t) => {
+  const directory = create();
+  const entries = Array.from(
+    { length: 70_000 },
+    (_, index) => entryOf({ address: `a:${index}` }),
+  );
+  merge(directory, entries, 0);
+  t.is(directory.members.size, 65_536);
+});
--- a/src/security/read_body.ts
+++ b/src/security/read_body.ts
@@ -9,7 +9,11 @@
   if (Number(request.headers["content-length"] ?? 0) > maxBytes) return null;
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
+  // The connection has to stay open for the rejection to be sent.
+  const stream: AsyncIterable<Buffer> = request.iterator({
+    destroyOnReturn: false,
+  });
+  for await (const chunk of stream) {
     bytes += chunk.length;
     if (bytes > maxBytes) return null;
     chunks.push(chunk);
--- a/src/security/replay_test.ts
+++ b/src/security/replay_test.ts
@@ -1,4 +1,6 @@
 import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { Readable } from "node:stream";
 import test from "ava";
 import fc from "fast-check";
 import { acceptCounter } from "./accept_counter.ts";
@@ -9,6 +11,7 @@
 import { epochOf } from "./epoch_of.ts";
 import { formatCredential } from "./format_credential.ts";
 import { issueCredential } from "./issue_credential.ts";
+import { readBody } from "./read_body.ts";
 import { sign } from "./sign.ts";
 
 const KEY = "k".repeat(32);
@@ -105,3 +108,12 @@
   t.true(send("two")().ok);
   t.deepEqual(first(), { ok: false, reason: "wrong-epoch" });
 });
+
+test("body without a declared length is bounded", async (t) => {
+  const chunked = () =>
+    Object.assign(Readable.from([Buffer.alloc(6), Buffer.alloc(6)]), {
+      headers: {},
+    }) as unknown as IncomingMessage;
+  t.is(await readBody(chunked(), 11), null);
+  t.is((await readBody(chunked(), 12))?.length, 12);
+});
