--- a/src/security/replay_test.ts
+++ b/src/security/replay_test.ts
@@ -1,4 +1,6 @@
 import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { Readable } from "node:stream";
 import test from "ava";
 import fc from "fast-check";
 import { acceptCounter } from "./accept_counter.ts";
@@ -9,6 +11,7 @@
 import { epochOf } from "./epoch_of.ts";
 import { formatCredential } from "./format_credential.ts";
 import { issueCredential } from "./issue_credential.ts";
+import { readBody } from "./read_body.ts";
 import { sign } from "./sign.ts";
 
 const KEY = "k".repeat(32);
@@ -47,16 +50,17 @@
     instance: fc.constantFrom("1", "2"),
     counter: fc.nat(60),
   });
-  fc.assert(fc.property(fc.array(arrival, { maxLength: 200 }), (arrivals) => {
-    const window = createReplayWindow("me", { maxSenders: 4 });
+  const arrivals = fc.array(arrival, { size: "max", maxLength: 300 });
+  fc.assert(fc.property(arrivals, fc.constantFrom(4, 9), (all, maxSenders) => {
+    const window = createReplayWindow("me", { maxSenders });
     const accepted = new Set<string>();
-    for (const each of arrivals) {
+    for (const each of all) {
       const key = JSON.stringify([window.generation, each]);
       if (acceptCounter(window, each) === "accepted") {
         t.false(accepted.has(key));
         accepted.add(key);
       }
-      t.true(window.senders.size <= 4);
+      t.true(window.senders.size <= maxSenders);
       for (const { recent } of window.senders.values()) {
         t.true(recent.length <= 16);
       }
@@ -104,3 +108,12 @@
   t.true(send("two")().ok);
   t.deepEqual(first(), { ok: false, reason: "wrong-epoch" });
 });
+
+test("body without a declared length is bounded", async (t) => {
+  const chunked = () =>
+    Object.assign(Readable.from([Buffer.alloc(6), Buffer.alloc(6)]), {
+      headers: {},
+    }) as unknown as IncomingMessage;
+  t.is(await readBody(chunked(), 11), null);
+  t.is((await readBody(chunked(), 12))?.length, 12);
+});
