--- a/src/rules/apply_snapshot.ts
+++ b/src/rules/apply_snapshot.ts
@@ -6,6 +6,7 @@
 import { indexServices } from "./index_services.ts";
 import { ownerIssues } from "./owner_issues.ts";
 import type { Rules } from "./rules.ts";
+import type { Section } from "./section.ts";
 import { sectionIssues } from "./section_issues.ts";
 import type { Snapshot } from "./snapshot.ts";
 import { snapshotChainIssues } from "./snapshot_chain_issues.ts";
@@ -17,11 +18,13 @@
 /**
  * Puts a snapshot into effect if it is newer, whole and signed throughout, and
  * takes back nothing that is in effect. Otherwise the rules stay as they are.
+ * Sections that passed `checkSections` are not checked by themselves again.
  */
 export function applySnapshot(
   rules: Rules,
   snapshot: Snapshot,
   now: number,
+  passed: ReadonlySet<Section> = new Set(),
 ): Application {
   const { sequence, digest, id } = snapshot.record;
   const order = compareHead(rules, { sequence, digest, changeId: id });
@@ -29,7 +32,7 @@
   if (order.kind !== "newer") return { applied: false, issues: [order.issue] };
   const chain = snapshotChainIssues(rules, snapshot);
   if (chain.length > 0) return { applied: false, issues: chain };
-  const { sections, services, issues } = assemble(rules, snapshot);
+  const { sections, services, issues } = assemble(rules, snapshot, passed);
   if (issues.length > 0) return { applied: false, issues };
   Object.assign(rules, { sections, services, changedAt: now });
   rules.record = snapshot.record;
@@ -39,7 +42,11 @@
 }
 
 /** Collects the sections of the snapshot, each from it or from those in effect. */
-function assemble(rules: Rules, snapshot: Snapshot) {
+function assemble(
+  rules: Rules,
+  snapshot: Snapshot,
+  passed: ReadonlySet<Section>,
+) {
   const sections: Rules["sections"] = new Map();
   const services: Rules["services"] = new Map();
   const issues: Issue[] = [];
@@ -54,7 +61,7 @@
       issues.push(missing(name));
       continue;
     }
-    issues.push(...unverified(rules, found));
+    if (!passed.has(found.section)) issues.push(...unverified(rules, found));
     issues.push(...ownerIssues(found.section.terms, services));
     if (sections.has(name)) issues.push(missing(name));
     sections.set(name, found);
--- /dev/null
+++ b/src/rules/check_sections.ts
@@ -0,0 +1,32 @@
+import { setImmediate } from "node:timers/promises";
+import type { Issue } from "../core/issue.ts";
+import { identifySection } from "./identify_section.ts";
+import type { Rules } from "./rules.ts";
+import type { Section } from "./section.ts";
+import { sectionIssues } from "./section_issues.ts";
+
+// A section took 0.24 ms to check, so that a slice blocks requests for about 5
+// ms instead of the 485 ms of a snapshot with 2,000 sections.
+const SECTIONS_PER_SLICE = 20;
+
+/**
+ * Checks sections by themselves, with other work in between. Returns those that
+ * passed, and stops after the first slice that has an issue.
+ */
+export async function checkSections(
+  { keys }: Pick<Rules, "keys">,
+  sections: readonly Section[],
+): Promise<{ passed: ReadonlySet<Section>; issues: Issue[] }> {
+  const passed = new Set<Section>();
+  for (let from = 0; from < sections.length; from += SECTIONS_PER_SLICE) {
+    const issues: Issue[] = [];
+    for (const section of sections.slice(from, from + SECTIONS_PER_SLICE)) {
+      const found = sectionIssues(identifySection(section), keys);
+      if (found.length === 0) passed.add(section);
+      issues.push(...found);
+    }
+    if (issues.length > 0) return { passed, issues };
+    await setImmediate();
+  }
+  return { passed, issues: [] };
+}
--- a/src/rules/refresh_rules.ts
+++ b/src/rules/refresh_rules.ts
@@ -1,4 +1,6 @@
+import type { Issue } from "../core/issue.ts";
 import { applySnapshot } from "./apply_snapshot.ts";
+import { checkSections } from "./check_sections.ts";
 import { readSnapshot } from "./read_snapshot.ts";
 import type { Rules } from "./rules.ts";
 import type { StoreFault } from "./store_fault.ts";
@@ -14,10 +16,21 @@
     if (rules.record.sequence === 0) return undefined;
     const message =
       `The store is empty, but had change ${rules.record.sequence} before`;
-    const issues = [{ code: "older-head", path: ["head"], message }];
-    return { kind: "invalid", issues };
+    return refused([{ code: "older-head", path: ["head"], message }]);
   }
   if (read.kind !== "found") return read;
-  const { issues } = applySnapshot(rules, read.snapshot, rules.changedAt);
-  return issues.length > 0 ? { kind: "invalid", issues } : undefined;
+  const { snapshot } = read;
+  const checked = await checkSections(rules, snapshot.sections);
+  if (checked.issues.length > 0) return refused(checked.issues);
+  const { issues } = applySnapshot(
+    rules,
+    snapshot,
+    rules.changedAt,
+    checked.passed,
+  );
+  return issues.length > 0 ? refused(issues) : undefined;
+}
+
+function refused(issues: Issue[]): StoreFault {
+  return { kind: "invalid", issues };
 }
