--- /dev/null
+++ b/src/cli/approve_change.ts
@@ -0,0 +1,42 @@
+import type { Section } from "../rules/section.ts";
+import { sectionDigest } from "../rules/section_digest.ts";
+import { signSection } from "../rules/sign_section.ts";
+import { checkSigner } from "./check_signer.ts";
+import { describeSection } from "./describe_section.ts";
+import { lookUpChange } from "./look_up_change.ts";
+import type { RulesHandlers } from "./rules_handlers.ts";
+import { sendSection } from "./send_section.ts";
+import type { SubmitAnswer } from "./submit_answer.ts";
+
+/** Shows a section that lacks signatures, signs it and sends it back. */
+export async function approveChange(
+  request: Parameters<RulesHandlers["approve"]>[0],
+): Promise<SubmitAnswer> {
+  const { changeId, department, ask } = request;
+  const state = await lookUpChange(changeId, ask);
+  if (state.kind === "unreachable") return state;
+  if (state.kind === "unavailable") return { ...state, changeId };
+  if (state.kind === "absent") {
+    const message = `No change ${changeId} waits for signatures`;
+    return invalid("change-not-found", message);
+  }
+  if (state.kind === "accepted") {
+    const { name: section, version } = state.submission;
+    return { kind: "unchanged", changeId, section, version };
+  }
+  const section: Section = state.section;
+  request.show(describeSection(section));
+  const digest = sectionDigest(section);
+  if (request.digest !== null && request.digest !== digest) {
+    const message = `Digest is ${digest}, not the given ${request.digest}`;
+    return invalid("digest-mismatch", message);
+  }
+  const key = checkSigner(section.terms, request);
+  if (!key.ok) return { kind: "invalid", issues: key.issues };
+  const signed = signSection(section, { department, privateKey: key.value });
+  return sendSection({ section: signed, changeId, repeated: false, ask });
+}
+
+function invalid(code: string, message: string): SubmitAnswer {
+  return { kind: "invalid", issues: [{ code, path: [], message }] };
+}
--- a/src/cli/argument.ts
+++ b/src/cli/argument.ts
@@ -25,7 +25,18 @@
   ),
   changeId: text(
     "one change id of letters, digits, dots and hyphens",
-    (value) => /^[\w.-]{1,128}$/.test(value),
+    (value) => /^[\w.-]{1,64}$/.test(value),
   ),
+  version: z.int({ error: "one whole number from 1" })
+    .min(1, { error: "one whole number from 1" }),
+  digest: text(
+    "one digest of 64 characters, as rules submit prints it",
+    (value) => /^[0-9a-f]{64}$/.test(value),
+  ),
+  publicKey: text(
+    "one public key, as rules keygen prints it",
+    (value) => /^[\w+/]{43,}=*$/.test(value),
+  ),
+  files: z.array(text("the path of one file", (value) => value !== "")),
   flag: z.boolean({ error: "the option once, without a value" }),
 };
--- a/src/cli/collect_rules.ts
+++ b/src/cli/collect_rules.ts
@@ -17,27 +17,44 @@
     address: z.string(),
     rules: AnyRules.optional(),
     error: z.string().optional(),
-  })),
+  })).min(1),
 });
 
-/** Asks each daemon at its own local listener. */
+/** Asks each daemon for the sections that bind a department. */
 export async function collectRules(
-  { addresses, members }: { addresses: string[]; members: boolean },
+  { addresses, members, department }: {
+    addresses: string[];
+    members: boolean;
+    department: string;
+  },
   environment: Pick<Environment, "err">,
 ): Promise<Collected> {
+  const ask = members ? askAll : askOne;
   const each = await Promise.all(
-    addresses.map((address) => members ? askAll(address) : askOne(address)),
+    addresses.map((address) => ask(address, department)),
   );
-  const failures = each.flatMap((one) => one.failures);
+  const daemons = withoutRepeats(each.flatMap((one) => one.daemons));
+  const answered = new Set(daemons.map(({ address }) => address));
+  const failures = withoutRepeats(each.flatMap((one) => one.failures))
+    .filter(({ address }) => !answered.has(address));
   for (const { message } of failures) environment.err(`${message}\n`);
-  return { daemons: each.flatMap((one) => one.daemons), failures };
+  return { daemons, failures };
 }
 
-async function askOne(address: string): Promise<Collected> {
+/** Several daemons that are asked for all members name the same ones. */
+function withoutRepeats<Value>(values: Value[]): Value[] {
+  const byText = new Map(values.map((value) => [JSON.stringify(value), value]));
+  return [...byText.values()];
+}
+
+async function askOne(
+  address: string,
+  department: string,
+): Promise<Collected> {
   const fetched = await fetchValue(AnyRules, {
     daemon: address,
     method: "GET",
-    path: "/-/rules",
+    path: `/-/rules?department=${department}`,
   });
   return fetched.ok
     ? { daemons: [{ address, rules: fetched.value }], failures: [] }
@@ -48,11 +65,14 @@
  * Local listeners are bound to loopback, so that other VMs are out of reach
  * from here; the daemon asks its members over the control connections.
  */
-async function askAll(address: string): Promise<Collected> {
+async function askAll(
+  address: string,
+  department: string,
+): Promise<Collected> {
   const fetched = await fetchValue(RulesOfMembers, {
     daemon: address,
     method: "GET",
-    path: "/-/rules?scope=members",
+    path: `/-/rules?scope=members&department=${department}`,
   });
   if (!fetched.ok) {
     return { daemons: [], failures: [{ address, ...fetched }] };
--- a/src/cli/commands/rules/approve.ts
+++ b/src/cli/commands/rules/approve.ts
@@ -15,6 +15,11 @@
   options: {
     department: option.department,
     key: option.key,
+    digest: {
+      type: "string",
+      requiresArg: true,
+      describe: "Sign only if the section has this digest",
+    },
     daemon: option.daemon,
     json: option.json,
   },
@@ -26,10 +31,11 @@
     change: argument.changeId,
     department: argument.name,
     key: argument.file,
+    digest: argument.digest.optional(),
     daemon: argument.listener,
     json: argument.flag,
   }),
-  async run({ change, department, key, daemon, json }, environment) {
+  async run({ change, department, key, daemon, json, digest }, environment) {
     const privateKey = readText(key);
     if (!privateKey.ok) {
       environment.err(`${privateKey.message}\n`);
@@ -39,6 +45,9 @@
       changeId: change,
       department,
       privateKey: privateKey.text,
+      digest: digest ?? null,
+      // With --json the output holds nothing but the answer.
+      show: json ? environment.err : environment.out,
       ask: (request) => askDaemon({ ...request, daemon }),
     });
     return reportSubmit(answer, { file: change, json }, environment);
--- a/src/cli/commands/rules/show.ts
+++ b/src/cli/commands/rules/show.ts
@@ -8,8 +8,11 @@
 
 /** What the table needs; `--json` prints the other fields as well. */
 const RulesInEffect = z.looseObject({
-  sequence: z.number(),
-  digest: z.string(),
+  head: z.looseObject({
+    sequence: z.number(),
+    digest: z.string(),
+    changeId: z.string(),
+  }),
   sections: z.array(z.looseObject({
     name: z.string(),
     version: z.number(),
@@ -34,7 +37,7 @@
       err(`${fetched.message}\n`);
       return fetched.status;
     }
-    const { sequence, digest, sections } = fetched.value;
+    const { head: { sequence, digest, changeId }, sections } = fetched.value;
     const rows = sections.map((section) => [
       section.name,
       String(section.version),
@@ -43,7 +46,7 @@
     out(
       json
         ? `${JSON.stringify(fetched.value)}\n`
-        : `Sequence ${sequence}, digest ${digest}\n` +
+        : `Sequence ${sequence}, change ${changeId}, digest ${digest}\n` +
           formatTable([["SECTION", "VERSION", "DIGEST"], ...rows]),
     );
     return ExitStatus.ok;
--- a/src/cli/commands/rules/submit.ts
+++ b/src/cli/commands/rules/submit.ts
@@ -20,6 +20,11 @@
       requiresArg: true,
       describe: "Change id of an earlier try whose outcome is not known",
     },
+    "section-version": {
+      type: "number",
+      requiresArg: true,
+      describe: "Version to make; the one after that in effect if left out",
+    },
     daemon: option.daemon,
     json: option.json,
   },
@@ -32,10 +37,11 @@
     department: argument.name,
     key: argument.file,
     change: argument.changeId.optional(),
+    "section-version": argument.version.optional(),
     daemon: argument.listener,
     json: argument.flag,
   }),
-  async run({ file, department, key, change, daemon, json }, environment) {
+  async run({ file, department, key, daemon, json, ...rest }, environment) {
     const [text, privateKey] = [readText(file), readText(key)];
     if (!text.ok || !privateKey.ok) {
       for (const read of [text, privateKey]) {
@@ -47,7 +53,8 @@
       text: text.text,
       department,
       privateKey: privateKey.text,
-      changeId: change ?? null,
+      changeId: rest.change ?? null,
+      version: rest["section-version"] ?? null,
       ask: (request) => askDaemon({ ...request, daemon }),
     });
     return reportSubmit(answer, { file, json }, environment);
--- a/src/cli/exit_status.ts
+++ b/src/cli/exit_status.ts
@@ -17,4 +17,10 @@
   badAnswer: 7,
   /** The program itself failed, or the daemon could not start. */
   failed: 8,
+  /** The same change had been accepted before. */
+  unchanged: 9,
+  /** The change is kept until other departments have signed it. */
+  pending: 10,
+  /** The change did not pass the checks that every daemon makes. */
+  rejected: 11,
 } as const;
--- a/src/cli/report_submit.ts
+++ b/src/cli/report_submit.ts
@@ -13,48 +13,70 @@
   accepted: ({ changeId, section, version }) => ({
     status: ExitStatus.ok,
     text:
-      `Change ${changeId}: section ${section} accepted as version ${version}`,
+      `Change ${changeId}: section ${section} accepted as version ${version}; check with rules verify that it is in effect everywhere`,
   }),
   unchanged: ({ changeId, section, version }) => ({
-    status: ExitStatus.ok,
+    status: ExitStatus.unchanged,
     text:
-      `Change ${changeId}: section ${section} was accepted before as version ${version}`,
+      `Change ${changeId}: section ${section} was accepted before as version ${version}; nothing is left to do`,
   }),
-  pending: ({ changeId, missing }) => ({
-    status: ExitStatus.ok,
-    text: `Change ${changeId}: stored, waits for the signatures of ${
-      missing.join(", ")
-    }`,
+  pending: ({ changeId, section, version, digest, missing }) => ({
+    status: ExitStatus.pending,
+    text:
+      `Change ${changeId}: version ${version} of section ${section} is stored, not in effect before ${
+        missing.join(", ")
+      } signed it: rules approve ${changeId} --digest ${digest}`,
   }),
-  conflict: ({ changeId, section, version }) => ({
+  conflict: ({ changeId, section, version, winner }) => ({
     status: ExitStatus.conflict,
     text:
-      `Change ${changeId}: not accepted, another change made version ${version} of section ${section}`,
+      `Change ${changeId}: not accepted, change ${winner} made version ${version} of section ${section} first; compare with that change, then submit as a new change`,
+  }),
+  invalid: () => ({
+    status: ExitStatus.usage,
+    text: "Change not submitted; correct what is named above",
+  }),
+  rejected: ({ changeId }) => ({
+    status: ExitStatus.rejected,
+    text:
+      `Change ${changeId}: not accepted; correct what is named above, then submit as a new change`,
+  }),
+  unreachable: ({ message }) => ({
+    status: ExitStatus.unreachable,
+    text:
+      `Change not submitted, the daemon cannot be reached: ${message}; check --daemon and that it runs`,
   }),
-  rejected: () => ({ status: ExitStatus.usage, text: "Change not accepted" }),
-  unavailable: ({ message }) => ({
+  unavailable: ({ changeId, message }) => ({
     status: ExitStatus.notAccepted,
-    text: `Change not accepted: ${message}`,
+    text:
+      `Change ${changeId}: not accepted: ${message}; the rules in effect stay, try again later`,
   }),
   unknown: ({ changeId, message }) => ({
     status: ExitStatus.unknown,
     text:
-      `Change ${changeId}: not known whether it was accepted: ${message}; submit again with --change ${changeId}`,
+      `Change ${changeId}: not known whether it was accepted: ${message}; submit again with --change ${changeId}, or approve again`,
   }),
 };
 
+// What a script takes for progress goes to the output, the rest to errors.
+const PROGRESS: ReadonlySet<SubmitAnswer["kind"]> = new Set([
+  "accepted",
+  "unchanged",
+  "pending",
+]);
+
 /** Prints what became of a change; returns the exit status. */
 export function reportSubmit(
   answer: SubmitAnswer,
   { file, json }: { file: string; json: boolean },
-  { out, err }: Environment,
+  { out, err }: Pick<Environment, "out" | "err">,
 ): number {
   const report = REPORT[answer.kind] as (answer: SubmitAnswer) => Report;
   const { status, text } = report(answer);
   if (json) out(`${JSON.stringify(answer)}\n`);
-  else if (status === ExitStatus.ok) out(`${text}\n`);
+  else if (PROGRESS.has(answer.kind)) out(`${text}\n`);
   else {
-    if (answer.kind === "rejected") err(reportIssues(file, answer.issues));
+    if ("issues" in answer) err(reportIssues(file, answer.issues));
     err(`${text}\n`);
   }
   return status;
--- a/src/cli/rules_handlers.ts
+++ b/src/cli/rules_handlers.ts
@@ -9,10 +9,12 @@
   submit(request: {
     text: string;
     department: string;
-    /** Ed25519 private key, PKCS#8 PEM. */
+    /** Ed25519 private key, PKCS#8 PEM. It stays in this process. */
     privateKey: string;
     /** Id to find the change by after a lost response; null makes a new one. */
     changeId: string | null;
+    /** Version of the section; null takes the one after that in effect. */
+    version: number | null;
     ask: Ask;
   }): Promise<SubmitAnswer>;
   /** Adds a department's signature to a change that waits for several. */
@@ -20,13 +22,19 @@
     changeId: string;
     department: string;
     privateKey: string;
+    /** Digest that the section must have; null accepts what is shown. */
+    digest: string | null;
+    /** Called with what is signed, before it is signed. */
+    show(text: string): void;
     ask: Ask;
   }): Promise<SubmitAnswer>;
   /** Compares what was agreed with what each daemon has in effect. */
   verify(request: {
-    /** The configuration that the department agreed to. */
-    text: string;
+    /** Configurations that the department agreed to; null finds the version. */
+    agreed: { text: string; version: number | null }[];
     department: string;
+    /** The department's own Ed25519 public key in base64. */
+    publicKey: string;
     /** Bodies of `GET /-/rules`, parsed from JSON only. */
     daemons: { address: string; rules: unknown }[];
   }): Promise<VerifyAnswer>;
--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -11,7 +11,8 @@
 
 const EPILOGUE = `Exit statuses:
   0 ok, 1 negative answer, 2 usage or settings error, 3 daemon unreachable,
-  4 conflict, 5 outcome not known, 6 not accepted, 7 unreadable answer, 8 failed`;
+  4 conflict, 5 outcome not known, 6 not accepted, 7 unreadable answer, 8 failed,
+  9 accepted before, 10 waits for signatures, 11 rejected by the checks`;
 
 /** Runs the command line; returns the exit status. */
 export async function run(
--- a/src/daemon/collect_reports.ts
+++ b/src/daemon/collect_reports.ts
@@ -11,12 +11,15 @@
   daemons: { address: string; rules?: RulesReport; error?: string }[];
 };
 
-/** Returns the rules in effect here, or at every live daemon. */
+/**
+ * Returns the rules in effect here, or at every live daemon; with a department
+ * only the sections that bind it.
+ */
 export async function collectReports(
   parts: DependencyContainer,
-  { everywhere }: { everywhere: boolean },
+  { everywhere, department }: { everywhere: boolean; department?: string },
 ): Promise<RulesReport | Collected> {
-  const own = reportRules(parts.resolve(Token.rules));
+  const own = reportRules(parts.resolve(Token.rules), department);
   if (!everywhere) return own;
   const directory = parts.resolve(Token.directory);
   const client = parts.resolve(Token.rulesClient);
@@ -28,7 +31,7 @@
     for (;;) {
       const address = addresses.pop();
       if (address === undefined) return;
-      const rules = await client.report(address);
+      const rules = await client.report(address, department);
       daemons.push(
         rules === null ? { address, error: "no answer" } : { address, rules },
       );
--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -21,6 +21,7 @@
 import { createControlFetches } from "./create_control_fetches.ts";
 import { createRelay } from "./create_relay.ts";
 import { createStores } from "./create_stores.ts";
+import { departmentKeys } from "./department_keys.ts";
 import { rulesMark } from "./rules_mark.ts";
 import { Token } from "./token.ts";
 
@@ -89,14 +90,6 @@
   return parts;
 }
 
-function departmentKeys(settings: Settings): Record<string, string> {
-  return Object.fromEntries(
-    Object.entries(settings.departments).map((
-      [name, { publicKey }],
-    ) => [name, publicKey]),
-  );
-}
-
 function relay(parts: DependencyContainer) {
   const directory = parts.resolve(Token.directory);
   const rules = parts.resolve(Token.rules);
--- /dev/null
+++ b/src/daemon/department_keys.ts
@@ -0,0 +1,10 @@
+import type { Settings } from "../settings/settings.ts";
+
+/** Returns the public keys of the settings by department. */
+export function departmentKeys(settings: Settings): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(settings.departments).map((
+      [name, { publicKey }],
+    ) => [name, publicKey]),
+  );
+}
--- a/src/daemon/local_app.ts
+++ b/src/daemon/local_app.ts
@@ -8,10 +8,10 @@
 import { formatPrometheus } from "../metrics/format_prometheus.ts";
 import { takeSnapshot } from "../metrics/take_snapshot.ts";
 import { useServer } from "../relay/use_server.ts";
-import { collectReports } from "./collect_reports.ts";
 import { listMembers } from "./list_members.ts";
 import { readJson } from "./read_json.ts";
 import { describeDaemon } from "./describe_daemon.ts";
+import { rulesRoutes } from "./rules_routes.ts";
 import { Token } from "./token.ts";
 
 /** Routes under `/-/` of the local listener. */
@@ -38,10 +38,7 @@
   app.get("/-/metrics", (request, response) => {
     sendMetrics(parts, response, request.headers.accept ?? "");
   });
-  app.get("/-/rules", async (request, response) => {
-    const everywhere = request.url.endsWith("?scope=members");
-    response.json(await collectReports(parts, { everywhere }));
-  });
+  rulesRoutes(app, parts);
   app.post("/-/drain", (_request, response) => {
     leave();
     response.json({ ok: true, phase: parts.resolve(Token.drain).phase });
--- a/src/daemon/read_json.ts
+++ b/src/daemon/read_json.ts
@@ -2,13 +2,16 @@
 
 const MAX_BYTES = 64 * 1024;
 
-/** Reads a small JSON body; undefined where it is too large or no JSON. */
-export async function readJson(request: IncomingMessage): Promise<unknown> {
+/** Reads a JSON body; undefined where it is too large or no JSON. */
+export async function readJson(
+  request: IncomingMessage,
+  maxBytes = MAX_BYTES,
+): Promise<unknown> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of request) {
     size += chunk.length;
-    if (size > MAX_BYTES) return undefined;
+    if (size > maxBytes) return undefined;
     chunks.push(chunk);
   }
   try {
--- /dev/null
+++ b/src/rules/change_state.ts
@@ -0,0 +1,13 @@
+import { z } from "zod";
+import { Section } from "./section.ts";
+import { SubmittedChange } from "./submitted_change.ts";
+
+/** What the store knows of a change id. */
+export const ChangeState = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("accepted"), submission: SubmittedChange }),
+  /** Lacks signatures. */
+  z.object({ kind: z.literal("pending"), section: Section }),
+  z.object({ kind: z.literal("absent") }),
+  z.object({ kind: z.literal("unavailable"), message: z.string() }),
+]);
+export type ChangeState = z.infer<typeof ChangeState>;
--- a/src/rules/change_writes.ts
+++ b/src/rules/change_writes.ts
@@ -31,6 +31,12 @@
       sequence,
       changeId: id,
     }, { kind: "absent" }),
+    write(ROWS.submission(id), {
+      sequence,
+      name: record.name,
+      version: record.version,
+      digest: record.sectionDigest,
+    }, { kind: "absent" }),
     write(ROWS.state, { ...bodies.state, sequence }, { kind: "none" }),
   ];
 }
--- a/src/rules/compare_report.ts
+++ b/src/rules/compare_report.ts
@@ -1,46 +1,65 @@
+import { type KeyObject, verify } from "node:crypto";
 import type { RulesDifference } from "./rules_difference.ts";
 import type { RulesReport } from "./rules_report.ts";
 import type { SectionVersion } from "./section_version.ts";
+import { signedText } from "./signed_text.ts";
 
-/** Sections that a department agreed to. */
-type Agreed = { department: string; sections: readonly SectionVersion[] };
+type Reported = RulesReport["sections"][number];
+
+/** Sections that a department agreed to, and its own public key. */
+type Agreed = {
+  department: string;
+  publicKey: KeyObject;
+  sections: readonly SectionVersion[];
+};
 
 /** Compares one daemon's report with what a department agreed to. */
 export function compareReport(
-  { department, sections }: Agreed,
+  { department, publicKey, sections }: Agreed,
   report: RulesReport | null,
 ): RulesDifference[] {
   if (!report) return [{ kind: "no-report" }];
-  const bound = report.sections.filter((each) =>
-    each.departments.includes(department)
-  );
   const names = new Set(sections.map((each) => each.name));
+  const others = report.sections.filter((each) =>
+    each.departments.includes(department) && !names.has(each.name)
+  );
   return [
     ...sections.flatMap((agreed) =>
-      difference(
-        agreed,
-        report.sections.find(({ name }) => name === agreed.name),
-      )
+      difference(agreed, {
+        found: report.sections.find(({ name }) => name === agreed.name),
+        publicKey,
+      })
     ),
-    ...bound.filter((actual) => !names.has(actual.name))
-      .map((actual) => ({ kind: "not-agreed" as const, actual: pick(actual) })),
+    ...others.map((actual) => ({
+      kind: "not-agreed" as const,
+      actual: pick(actual),
+      signed: isSigned(actual, publicKey),
+    })),
   ];
 }
 
 function difference(
   section: SectionVersion,
-  found: SectionVersion | undefined,
+  { found, publicKey }: { found: Reported | undefined; publicKey: KeyObject },
 ): RulesDifference[] {
   const agreed = pick(section);
   if (!found) return [{ kind: "missing", agreed }];
   const actual = pick(found);
+  const signed = isSigned(found, publicKey);
   if (actual.version !== agreed.version) {
     const kind = actual.version < agreed.version ? "older" : "newer";
-    return [{ kind, agreed, actual }];
+    return [{ kind, agreed, actual, signed }];
   }
-  return actual.digest === agreed.digest
-    ? []
-    : [{ kind: "altered", agreed, actual }];
+  if (actual.digest !== agreed.digest) {
+    return [{ kind: "altered", agreed, actual, signed }];
+  }
+  return signed ? [] : [{ kind: "unsigned", agreed }];
+}
+
+function isSigned({ digest, signature }: Reported, key: KeyObject): boolean {
+  if (signature === undefined) return false;
+  const bytes = Buffer.from(signature, "base64");
+  return verify(null, signedText(digest), key, bytes);
 }
 
 function pick({ name, version, digest }: SectionVersion): SectionVersion {
--- a/src/rules/create_rules_client.ts
+++ b/src/rules/create_rules_client.ts
@@ -30,8 +30,10 @@
       ),
     push: async (address, notice) =>
       await orNull(() => to(address).push.mutate(notice)) !== null,
-    report: (address) =>
-      orNull(async () => RulesReport.parse(await to(address).report.mutate())),
+    report: (address, department) =>
+      orNull(async () =>
+        RulesReport.parse(await to(address).report.mutate({ department }))
+      ),
   };
 }
 
--- a/src/rules/create_rules_router.ts
+++ b/src/rules/create_rules_router.ts
@@ -2,6 +2,7 @@
 import { controlTrpc } from "../membership/control_trpc.ts";
 import { changesSince } from "./changes_since.ts";
 import { HeadNotice } from "./head_notice.ts";
+import { Name } from "./name.ts";
 import { reportRules } from "./report_rules.ts";
 import type { Rules } from "./rules.ts";
 import { SectionVersion } from "./section_version.ts";
@@ -29,6 +30,8 @@
       receive(ctx.sender, input);
       return {};
     }),
-    report: procedure.mutation(() => reportRules(rules)),
+    report: procedure
+      .input(z.strictObject({ department: Name.optional() }))
+      .mutation(({ input }) => reportRules(rules, input.department)),
   });
 }
--- /dev/null
+++ b/src/rules/find_submission.ts
@@ -0,0 +1,25 @@
+import { parse } from "../core/parse.ts";
+import type { TableService } from "../platform/table_service.ts";
+import { invalidRow } from "./invalid_row.ts";
+import { ROWS } from "./rows.ts";
+import type { StoreFault } from "./store_fault.ts";
+import { SubmittedChange } from "./submitted_change.ts";
+
+/** Finds out which change, if any, was accepted under a change id. */
+export async function findSubmission(
+  table: TableService,
+  changeId: string,
+): Promise<
+  | { kind: "found"; submission: SubmittedChange }
+  | { kind: "absent" }
+  | StoreFault
+> {
+  const { partition } = ROWS;
+  const sort = ROWS.submission(changeId);
+  const row = await table.get({ partition, sort });
+  if (row.kind !== "found") return row;
+  const submission = parse(SubmittedChange, row.item.attributes);
+  return submission.ok
+    ? { kind: "found", submission: submission.value }
+    : invalidRow(sort, submission.issues);
+}
--- /dev/null
+++ b/src/rules/read_pending.ts
@@ -0,0 +1,29 @@
+import type { TableService } from "../platform/table_service.ts";
+import { invalidRow } from "./invalid_row.ts";
+import { parseJson } from "./parse_json.ts";
+import { ROWS } from "./rows.ts";
+import { Section } from "./section.ts";
+import type { StoreFault } from "./store_fault.ts";
+
+/** Reads a section that lacks signatures; nothing in it is verified here. */
+export async function readPending(
+  table: TableService,
+  changeId: string,
+): Promise<
+  { kind: "found"; section: Section } | { kind: "absent" } | StoreFault
+> {
+  const row = await table.get({ partition: ROWS.pending, sort: changeId });
+  if (row.kind !== "found") return row;
+  const { body, signatures } = row.item.attributes;
+  const terms = parseJson(
+    Section.omit({ signatures: true }),
+    String(body),
+  );
+  if (!terms.ok) return invalidRow(changeId, terms.issues);
+  const signed = parseJson(Section.shape.signatures, String(signatures));
+  if (!signed.ok) return invalidRow(changeId, signed.issues);
+  return {
+    kind: "found",
+    section: { ...terms.value, signatures: signed.value },
+  };
+}
--- a/src/rules/report_rules.ts
+++ b/src/rules/report_rules.ts
@@ -3,18 +3,24 @@
 import type { RulesReport } from "./rules_report.ts";
 import { signers } from "./signers.ts";
 
-/** Returns what is in effect at this daemon, for `nutmegmoor rules verify`. */
-export function reportRules(rules: Rules): RulesReport {
+/**
+ * Returns what is in effect at this daemon. For a department, only the sections
+ * that bind it, with its signatures; `nutmegmoor rules verify` checks those.
+ */
+export function reportRules(rules: Rules, department?: string): RulesReport {
+  const sections = [...rules.sections.values()].filter(({ section }) =>
+    department === undefined || signers(section.terms).includes(department)
+  );
   return {
     head: rulesHead(rules),
-    sections: Array.from(
-      rules.sections.values(),
-      ({ name, version, digest, section }) => ({
-        name,
-        version,
-        digest,
-        departments: [...signers(section.terms)],
-      }),
-    ),
+    sections: sections.map(({ name, version, digest, section }) => ({
+      name,
+      version,
+      digest,
+      departments: [...signers(section.terms)],
+      ...(department === undefined
+        ? {}
+        : { signature: section.signatures[department] }),
+    })),
   };
 }
--- a/src/rules/rules_client.ts
+++ b/src/rules/rules_client.ts
@@ -14,5 +14,5 @@
   >;
   snapshot(address: string, known: SectionVersion[]): Promise<Snapshot | null>;
   push(address: string, notice: HeadNotice): Promise<boolean>;
-  report(address: string): Promise<RulesReport | null>;
+  report(address: string, department?: string): Promise<RulesReport | null>;
 };
--- a/src/rules/rules_difference.ts
+++ b/src/rules/rules_difference.ts
@@ -9,6 +9,10 @@
     kind: "older" | "newer" | "altered";
     agreed: SectionVersion;
     actual: SectionVersion;
+    /** Whether the department's own key signed what is in effect. */
+    signed: boolean;
   }
+  /** The agreed section, but without a signature by the department's own key. */
+  | { kind: "unsigned"; agreed: SectionVersion }
   /** A section binds the department that it did not agree to. */
-  | { kind: "not-agreed"; actual: SectionVersion };
+  | { kind: "not-agreed"; actual: SectionVersion; signed: boolean };
--- a/src/rules/rules_report.ts
+++ b/src/rules/rules_report.ts
@@ -10,6 +10,8 @@
   sections: z.array(SectionVersion.extend({
     /** Departments that the section binds. */
     departments: z.array(Name),
+    /** Signature of the department that the report is made for. */
+    signature: z.string().max(128).optional(),
   })).max(LIMITS.sections),
 });
 export type RulesReport = z.infer<typeof RulesReport>;
--- a/src/rules/submission_outcome.ts
+++ b/src/rules/submission_outcome.ts
@@ -1,16 +1,24 @@
-import type { Issue } from "../core/issue.ts";
+import { z } from "zod";
+import { Issue } from "../core/issue.ts";
+
+const place = {
+  sequence: z.number().int().min(1),
+  version: z.number().int().min(1),
+};
 
 /** What became of a submitted change. */
-export type SubmissionOutcome =
+export const SubmissionOutcome = z.discriminatedUnion("kind", [
   /** Written by this call. */
-  | { kind: "accepted"; sequence: number; version: number }
+  z.object({ kind: z.literal("accepted"), ...place }),
   /** Written by an earlier submission with the same change id. */
-  | { kind: "already-accepted"; sequence: number; version: number }
+  z.object({ kind: z.literal("already-accepted"), ...place }),
   /** Another change took this version of the section. */
-  | { kind: "conflict"; sequence: number; version: number; changeId: string }
+  z.object({ kind: z.literal("conflict"), ...place, changeId: z.string() }),
   /** The change or the state in the store does not pass the checks. */
-  | { kind: "rejected"; issues: Issue[] }
+  z.object({ kind: z.literal("rejected"), issues: z.array(Issue) }),
   /** Certainly not written. */
-  | { kind: "not-accepted"; message: string }
+  z.object({ kind: z.literal("not-accepted"), message: z.string() }),
   /** Perhaps written; submitting again with the same id resolves it. */
-  | { kind: "not-known"; message: string };
+  z.object({ kind: z.literal("not-known"), message: z.string() }),
+]);
+export type SubmissionOutcome = z.infer<typeof SubmissionOutcome>;
--- a/src/rules/submit_once.ts
+++ b/src/rules/submit_once.ts
@@ -1,6 +1,7 @@
 import type { Issue } from "../core/issue.ts";
 import type { TableService } from "../platform/table_service.ts";
 import { createChange } from "./create_change.ts";
+import { findSubmission } from "./find_submission.ts";
 import { findWinner } from "./find_winner.ts";
 import { refreshRules } from "./refresh_rules.ts";
 import { sectionDigest } from "./section_digest.ts";
@@ -48,7 +49,7 @@
     progress.doubts = new Set(
       [...progress.doubts].filter((each) => each === head),
     );
-    return undefined;
+    return await lookUpId(table, changeId, progress);
   }
   if (found.kind !== "found") return stopped(progress, found);
   const { winner } = found;
@@ -62,6 +63,24 @@
   return { kind, sequence, version };
 }
 
+/** Stops a change id from standing for two changes. */
+async function lookUpId(
+  table: TableService,
+  changeId: string,
+  progress: SubmissionProgress,
+): Promise<Step | undefined> {
+  const found = await findSubmission(table, changeId);
+  if (found.kind === "absent") return undefined;
+  if (found.kind !== "found") return stopped(progress, found);
+  // The write of an earlier attempt can take effect between the two reads.
+  if (progress.sent) return { kind: "again" };
+  const { name, version } = found.submission;
+  const message =
+    `Change id ${changeId} stands for version ${version} of section ${name} already`;
+  const issues = [{ code: "change-id-taken", path: ["changeId"], message }];
+  return rejected(progress, issues);
+}
+
 function stopped(progress: SubmissionProgress, fault: StoreFault): Step {
   if (fault.kind === "invalid") return rejected(progress, fault.issues);
   progress.message = fault.message;
