Add the naive version and prove the retry bound against it

Cause: nothing showed the bound on retries on separate processes, nor that a test of it can fail.

Change: naive/ is a daemon with the same listeners and headers, round robin, three retries per hop and no protection.

--- a/ava.config.js
+++ b/ava.config.js
@@ -3,7 +3,6 @@
   nodeArguments: ["--import=tsx"],
   files: [
     "src/**/*_test.ts",
-    "test/**/*_test.ts",
     "standin/**/*_test.ts",
     "bench/**/*_test.ts",
   ],
--- a/fleet/start_fleet.ts
+++ b/fleet/start_fleet.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import type { Deployment } from "../deployments/deployment.ts";
 import { generateKeys } from "../src/library.ts";
+import type { ServerSettings } from "../standin/server/server_settings.ts";
 import type { Fleet } from "./fleet.ts";
 import { layOut } from "./lay_out.ts";
 import { publishRules } from "./publish_rules.ts";
@@ -21,6 +22,8 @@
   program?: string[];
   /** Namespaces of `debug`. */
   log?: string;
+  /** Settings of the stand-in servers beyond the deployment. */
+  extra?: (vm: { host: string; directory: string }) => Partial<ServerSettings>;
 };
 
 const PRODUCT = ["dist/nutmegmoor.cjs"];
@@ -28,7 +31,7 @@
 
 /** Starts all processes of a deployment and waits until they know each other. */
 export async function startFleet(
-  { deployment, base, program = PRODUCT, log = LISTENING }: Options,
+  { deployment, base, program = PRODUCT, log = LISTENING, extra }: Options,
 ): Promise<Fleet> {
   const platform = `127.${base}.0.1`;
   const keys = generateKeys();
@@ -52,7 +55,11 @@
       const peers = seeds.filter((seed) => seed !== vm.host);
       const [daemon, server] = await Promise.all([
         startDaemon({ ...fleet, ...vm, peers, publicKey: keys.publicKey }),
-        startServer({ deployment, ...vm }),
+        startServer({
+          deployment,
+          ...vm,
+          extra: extra?.({ ...vm, directory: fleet.directory }),
+        }),
       ]);
       fleet.members.push(daemon, server);
     }
--- a/fleet/start_server.ts
+++ b/fleet/start_server.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import type { Deployment } from "../deployments/deployment.ts";
+import type { ServerSettings } from "../standin/server/server_settings.ts";
 import type { Member } from "./member.ts";
 import { Ports } from "./ports.ts";
 import { spawnMember } from "./spawn_member.ts";
@@ -10,11 +11,13 @@
   service: string;
   dataCentre: string;
   host: string;
+  /** Settings of the stand-in beyond the deployment. */
+  extra?: Partial<ServerSettings>;
 };
 
 /** Starts a stand-in backend server on a VM of the fleet. */
 export function startServer(
-  { deployment, service, dataCentre, host }: Vm,
+  { deployment, service, dataCentre, host, extra }: Vm,
 ): Promise<Member> {
   const about = deployment.services.find(({ name }) => name === service)!;
   const settings = {
@@ -25,8 +28,9 @@
     slots: about.slots,
     connections: about.connections,
     operations: about.operations.map((
-      { method, path, workMs, bytes, calls },
-    ) => ({ method, path, workMs, bytes, calls })),
+      { method, path, workMs, bytes, calls, parallel },
+    ) => ({ method, path, workMs, bytes, calls, parallel })),
+    ...extra,
   };
   return spawnMember({
     name: `server ${host}`,
--- /dev/null
+++ b/naive/forward.ts
@@ -0,0 +1,63 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { request as send } from "undici";
+import type { Directory } from "./directory.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { passOn } from "./pass_on.ts";
+import { readBody } from "./read_body.ts";
+
+const RETRIES = 3;
+
+/**
+ * Sends a request to the next server in turn and retries it on anything but
+ * success, whether or not it may be repeated. Deadlines are not handed on.
+ */
+export async function forward(
+  directory: Directory,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(request);
+  for (let attempt = 0; attempt <= RETRIES; attempt++) {
+    const daemon = nextDaemon(directory, request.url!.split("/")[1]!);
+    if (daemon === null) break;
+    try {
+      const answer = await send(`http://${daemon}${request.url}`, {
+        method: request.method as "GET",
+        headers: {
+          ...endToEndHeaders(request.headers),
+          "nutmegmoor-attempt": nextId(),
+        },
+        body: body.length > 0 ? body : null,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      });
+      if (answer.statusCode < 300 || attempt === RETRIES) {
+        return await passOn(answer, response);
+      }
+      await answer.body.dump();
+    } catch {
+      // The next attempt goes to the next server.
+    }
+  }
+  response.writeHead(503, { "nutmegmoor-outcome": "not-run" });
+  response.end();
+}
+
+function nextDaemon(
+  { members, turns }: Directory,
+  service: string,
+): string | null {
+  const entries = [...members.values()].filter(({ server }) =>
+    server.service === service
+  );
+  const turn = turns.get(service) ?? 0;
+  turns.set(service, turn + 1);
+  return entries[turn % entries.length]?.address ?? null;
+}
+
+let lastId = 0;
+
+function nextId(): string {
+  lastId += 1;
+  return `naive-${lastId}`;
+}
--- /dev/null
+++ b/naive/serve_peer.ts
@@ -0,0 +1,30 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { request as send } from "undici";
+import type { Directory } from "./directory.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { passOn } from "./pass_on.ts";
+import { readBody } from "./read_body.ts";
+
+/** Sends a request of another daemon to the own backend server at once. */
+export async function servePeer(
+  { members, address }: Directory,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const body = await readBody(request);
+  const server = members.get(address)?.server;
+  try {
+    const path = request.url!.slice((server?.service.length ?? 0) + 1);
+    const answer = await send(`http://${server?.address}${path}`, {
+      method: request.method as "GET",
+      headers: endToEndHeaders(request.headers),
+      body: body.length > 0 ? body : null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    await passOn(answer, response);
+  } catch {
+    response.writeHead(503, { "nutmegmoor-outcome": "not-run" });
+    response.end();
+  }
+}
--- /dev/null
+++ b/naive/start_naive_daemon.ts
@@ -0,0 +1,94 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Settings } from "../src/settings/settings.ts";
+import type { Directory } from "./directory.ts";
+import { forward } from "./forward.ts";
+import { pollPeers } from "./poll_peers.ts";
+import { readBody } from "./read_body.ts";
+import { servePeer } from "./serve_peer.ts";
+
+const POLL_MS = 200;
+
+type Handler = (
+  directory: Directory,
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void | Promise<void>;
+
+/**
+ * Starts a daemon without protection, for comparison with the product: the same
+ * listeners, headers and announcement, but round robin, three retries per hop,
+ * no load shedding, no execution tokens and no deadlines handed on.
+ */
+export async function startNaiveDaemon(
+  daemon: Settings["daemon"],
+): Promise<void> {
+  const { address, peerPort, ingressPort, localPort, localAddress } = daemon;
+  const directory: Directory = {
+    address: `${address}:${peerPort}`,
+    dataCentre: daemon.dataCentre,
+    members: new Map(),
+    turns: new Map(),
+  };
+  const open = (port: number, host: string, relay: Handler) =>
+    listen(port, host, async (request, response) => {
+      const route = ROUTES[request.url!.replace(/^(\/-\/[a-z]+).*/, "$1")];
+      try {
+        await (route ?? relay)(directory, request, response);
+      } catch {
+        response.destroy();
+      }
+    });
+  await open(ingressPort, address, forward);
+  await open(localPort, localAddress, forward);
+  await open(peerPort, address, servePeer);
+  setInterval(() => pollPeers(directory, daemon.peers), POLL_MS);
+}
+
+/** Routes under `/-/`, the same on each listener. */
+const ROUTES: Record<string, Handler> = {
+  async "/-/announce"(directory, request, response) {
+    const server = JSON.parse(String(await readBody(request)));
+    const { address, dataCentre } = directory;
+    directory.members.set(address, { address, dataCentre, server });
+    answer(response, { ok: true });
+  },
+  async "/-/swap"({ members }, request, response) {
+    for (const entry of JSON.parse(String(await readBody(request)))) {
+      members.set(entry.address, entry);
+    }
+    answer(response, [...members.values()]);
+  },
+  "/-/status": ({ address, members }, _request, response) =>
+    answer(response, {
+      address,
+      service: members.get(address)?.server.service ?? null,
+      rulesSequence: 1,
+    }),
+  "/-/members": ({ members }, _request, response) =>
+    answer(response, { members: [...members.values()] }),
+  "/-/tokens": (_directory, _request, response) =>
+    answer(response, { tokens: ["naive"] }),
+  "/-/alive": (_directory, _request, response) => answer(response, "running"),
+};
+
+function answer(response: ServerResponse, value: unknown): void {
+  response.writeHead(200, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+}
+
+function listen(
+  port: number,
+  host: string,
+  handler: (request: IncomingMessage, response: ServerResponse) => unknown,
+): Promise<Server> {
+  const server = createServer(handler);
+  server.keepAliveTimeout = 60_000;
+  return new Promise((resolve) =>
+    server.listen(port, host, () => resolve(server))
+  );
+}
--- a/standin/server/backend_server.ts
+++ b/standin/server/backend_server.ts
@@ -23,6 +23,7 @@
     peak: 0,
     waiting: [],
     runs: new Map(),
+    previous: null,
     started: 0,
     completed: 0,
     daemon: new Pool(`http://${settings.daemon}`, {
@@ -49,7 +50,7 @@
     headers: { "content-type": "application/json" },
     body: JSON.stringify({
       service: settings.service,
-      address: `${settings.host}:${settings.port}`,
+      address: settings.announced ?? `${settings.host}:${settings.port}`,
       slots: settings.slots,
       connections: settings.connections,
       warmupMs: settings.warmupMs,
--- a/standin/server/operation.ts
+++ b/standin/server/operation.ts
@@ -9,11 +9,13 @@
   workMs: z.number().min(0),
   /** Size of the response body, in bytes. */
   bytes: z.number().int().min(0).default(64),
-  /** Nested calls, one after the other. */
+  /** Nested calls, one after the other unless `parallel`. */
   calls: z.array(z.strictObject({
     method: z.string(),
     path: z.string(),
     step: z.string().optional(),
   })).default([]),
+  /** Whether the nested calls are made all at once. */
+  parallel: z.boolean().default(false),
 });
 export type Operation = z.infer<typeof Operation>;
--- a/standin/server/run_operation.ts
+++ b/standin/server/run_operation.ts
@@ -1,3 +1,4 @@
+import { appendFileSync } from "node:fs";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Operation } from "./operation.ts";
 import type { ServerState } from "./server_state.ts";
@@ -19,6 +20,10 @@
     response.setHeader("nutmegmoor-outcome", "not-run");
     return respond(request, response, 503, "");
   }
+  // A server refuses more work than it announced connections for.
+  if (state.inUse + state.waiting.length >= state.settings.connections) {
+    return respond(request, response, 503, "full");
+  }
   const aborted = new AbortController();
   response.on("close", () => aborted.abort());
   await takeSlot(state);
@@ -28,6 +33,7 @@
     await pause(operation.workMs + state.control.delayMs, aborted.signal);
     const failed = await callNested(state, request, operation, aborted.signal);
     if (aborted.signal.aborted || mode === "hang") return;
+    if (mode === "lose") return void response.destroy();
     if (failed !== null) return respond(request, response, 502, failed);
     if (mode === "fail") return respond(request, response, 503, "failed");
     finish(state, request, response, operation);
@@ -59,6 +65,9 @@
   if (key === undefined) return;
   const run = `${operation.path} ${key}`;
   state.runs.set(run, (state.runs.get(run) ?? 0) + 1);
+  const { journal } = state.settings;
+  // Written before the work begins, so that it outlives a killed process.
+  if (journal !== undefined) appendFileSync(journal, `${run}\n`);
 }
 
 async function takeSlot(state: ServerState): Promise<void> {
@@ -95,31 +104,49 @@
   operation: Operation,
   signal: AbortSignal,
 ): Promise<string | null> {
+  const callOne = (call: Operation["calls"][number]) =>
+    callOnce(state, { request, call, signal });
+  if (operation.parallel) {
+    const failures = await Promise.all(operation.calls.map(callOne));
+    return failures.find((failure) => failure !== null) ?? null;
+  }
   for (const call of operation.calls) {
     if (signal.aborted) return null;
-    const headers: Record<string, string> = {
-      "nutmegmoor-parent": String(request.headers["nutmegmoor-attempt"] ?? ""),
-    };
-    const key = request.headers[KEY_HEADER];
-    if (typeof key === "string") headers[KEY_HEADER] = key;
-    if (call.step !== undefined) headers["nutmegmoor-step"] = call.step;
-    try {
-      const { method, path } = call;
-      const nested = await state.daemon.request({
-        method: method as "GET",
-        path,
-        headers,
-        signal,
-      });
-      await nested.body.dump();
-      if (nested.statusCode >= 300) return `${path} ${nested.statusCode}`;
-    } catch (error) {
-      return `${call.path} ${(error as Error).message}`;
-    }
+    const failure = await callOne(call);
+    if (failure !== null) return failure;
   }
   return null;
 }
 
+async function callOnce(
+  state: ServerState,
+  { request, call, signal }: {
+    request: IncomingMessage;
+    call: Operation["calls"][number];
+    signal: AbortSignal;
+  },
+): Promise<string | null> {
+  const { method, path, step } = call;
+  const headers: Record<string, string> = {
+    "nutmegmoor-parent": String(request.headers["nutmegmoor-attempt"] ?? ""),
+  };
+  const key = request.headers[KEY_HEADER];
+  if (typeof key === "string") headers[KEY_HEADER] = key;
+  if (step !== undefined) headers["nutmegmoor-step"] = step;
+  try {
+    const nested = await state.daemon.request({
+      method: method as "GET",
+      path,
+      headers,
+      signal,
+    });
+    await nested.body.dump();
+    return nested.statusCode >= 300 ? `${path} ${nested.statusCode}` : null;
+  } catch (error) {
+    return `${path} ${(error as Error).message}`;
+  }
+}
+
 function finish(
   state: ServerState,
   request: IncomingMessage,
@@ -140,7 +167,14 @@
     setImmediate(() => response.destroy());
     return;
   }
-  respond(request, response, 200, body, state.control.mode === "mismatch");
+  const attempt = String(request.headers["nutmegmoor-attempt"] ?? "");
+  const own = { attempt, body };
+  const { previous } = state;
+  state.previous = own;
+  const reordered = state.control.mode === "reorder" && previous !== null;
+  const sent = reordered ? previous : own;
+  const echoed = state.control.mode === "mismatch" ? "another" : sent.attempt;
+  respond(request, response, 200, sent.body, echoed);
 }
 
 function respond(
@@ -148,13 +182,10 @@
   response: ServerResponse,
   status: number,
   body: string,
-  mismatch = false,
+  attempt = request.headers["nutmegmoor-attempt"],
 ): void {
   if (response.destroyed) return;
-  const attempt = request.headers["nutmegmoor-attempt"];
-  if (attempt !== undefined) {
-    response.setHeader("nutmegmoor-attempt", mismatch ? "another" : attempt);
-  }
+  if (attempt !== undefined) response.setHeader("nutmegmoor-attempt", attempt);
   response.writeHead(status, { "content-length": String(body.length) });
   response.end(body);
 }
--- a/standin/server/server_settings.ts
+++ b/standin/server/server_settings.ts
@@ -7,6 +7,10 @@
   /** Address and port that it listens on. */
   host: z.string(),
   port: z.number().int(),
+  /** Address that it announces, where a relay stands before it. */
+  announced: z.string().optional(),
+  /** File that gets a line with operation and key for each run. */
+  journal: z.string().optional(),
   /** Local listener of its daemon, `host:port`. */
   daemon: z.string(),
   slots: z.number().int(),
--- a/standin/server/server_state.ts
+++ b/standin/server/server_state.ts
@@ -13,6 +13,8 @@
   waiting: (() => void)[];
   /** Runs by operation and key, the proof of what ran and how often. */
   runs: Map<string, number>;
+  /** Response before the latest one, for the mode `reorder`. */
+  previous: { attempt: string; body: string } | null;
   started: number;
   completed: number;
   daemon: Pool;
--- /dev/null
+++ b/test/retries_test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { Pool } from "undici";
+import type { Fleet } from "../fleet/fleet.ts";
+import { Ports } from "../fleet/ports.ts";
+import { sendRequest } from "../fleet/send_request.ts";
+import { chains } from "./support/chains.ts";
+import { Programs } from "./support/programs.ts";
+import { readRuns } from "./support/read_runs.ts";
+import { setModes } from "./support/set_modes.ts";
+import { until } from "./support/until.ts";
+import { withFleet } from "./support/with_fleet.ts";
+
+const RETRIES = 3;
+const MOST = 1 + RETRIES;
+const BRANCHES = ["a", "b", "c"];
+const deployment = chains({
+  depths: [4, 12],
+  branches: BRANCHES,
+  retries: RETRIES,
+});
+const TARGETS = [
+  { path: "/front/deep-4/0", leaves: ["/deep-4/3"] },
+  { path: "/front/deep-12/0", leaves: ["/deep-12/11"] },
+  { path: "/front/wide/0", leaves: BRANCHES.map((name) => `/wide/${name}-2`) },
+];
+
+/** Returns the most runs of one leaf for one client request, by target. */
+async function attempts(
+  fleet: Fleet,
+  mode: "fail" | "lose",
+): Promise<number[]> {
+  await setModes(fleet, { mode });
+  const pool = new Pool(`http://${fleet.members[2]!.host}:${Ports.ingress}`);
+  const counts = TARGETS.map(async ({ path, leaves }) => {
+    const key = `${mode}-${path.split("/")[2]}`;
+    const most = () => {
+      const runs = readRuns(fleet);
+      return Math.max(...leaves.map((leaf) => runs.get(`${leaf} ${key}`) ?? 0));
+    };
+    let ended = false;
+    const send = { method: "GET", path, key, timeoutMs: 30_000 };
+    sendRequest(pool, send).then(() => ended = true);
+    // At depth 12 the naive version would make millions of attempts.
+    await until(() => ended || most() > MOST);
+    return most();
+  });
+  try {
+    return await Promise.all(counts);
+  } finally {
+    await pool.destroy();
+  }
+}
+
+test.serial("retries do not multiply with depth, fan-out and lost responses", async (t) => {
+  const run = (program: string[], base: number) =>
+    withFleet({ deployment, base, program }, async (fleet) => {
+      const failed = await attempts(fleet, "fail");
+      return [...failed, ...await attempts(fleet, "lose")];
+    });
+  const product = await run(Programs.product, 81);
+  const naive = await run(Programs.naive, 82);
+  t.log({ product, naive });
+  for (const count of product) {
+    t.true(count >= 1 && count <= MOST);
+  }
+  for (const count of naive) t.true(count > MOST);
+});
--- /dev/null
+++ b/test/support/chains.ts
@@ -0,0 +1,66 @@
+import { Deployment } from "../../deployments/deployment.ts";
+
+type Operation = Deployment["services"][number]["operations"][number];
+
+const SERVICES = ["front", "back"] as const;
+
+/** What the operations of a test deployment have in common. */
+const common = {
+  method: "GET",
+  importance: "normal",
+  idempotent: true,
+  // Longer than any run of the tests, so that no deadline ends a request.
+  deadlineMs: 60_000,
+  workMs: 0,
+  bytes: 100,
+  parallel: false,
+} as const;
+
+/**
+ * Two services with call chains of several depths that go back and forth
+ * between them, `/deep-DEPTH/LEVEL`, and one that fans out, `/wide/…`.
+ */
+export function chains(
+  { depths, branches, retries }: {
+    depths: number[];
+    branches: string[];
+    retries: number;
+  },
+): Deployment {
+  const services = SERVICES.map((name) => ({
+    name,
+    slots: 100,
+    connections: 200,
+    operations: [] as Operation[],
+  }));
+  const add = (level: number, path: string, next: string[]) =>
+    services[level % 2]!.operations.push({
+      ...common,
+      name: path.slice(1).replaceAll("/", "-"),
+      path,
+      retries,
+      parallel: next.length > 1,
+      calls: next.map((below) => ({
+        method: "GET",
+        path: `/${SERVICES[(level + 1) % 2]}${below}`,
+      })),
+    });
+  for (const depth of depths) {
+    for (let level = 0; level < depth; level++) {
+      const next = level + 1 < depth ? [`/deep-${depth}/${level + 1}`] : [];
+      add(level, `/deep-${depth}/${level}`, next);
+    }
+  }
+  add(0, "/wide/0", branches.map((branch) => `/wide/${branch}-1`));
+  for (const branch of branches) {
+    add(1, `/wide/${branch}-1`, [`/wide/${branch}-2`]);
+    add(2, `/wide/${branch}-2`, []);
+  }
+  return Deployment.parse({
+    name: "chains",
+    department: "proof",
+    dataCentres: ["one"],
+    services,
+    traffic: [],
+  });
+}
