Prove that truncated, reordered and foreign responses reach no caller

Cause: invariant 3 had no test on separate processes.

Change: bodies of the stand-in server end with a newline, so that a caller and a nested caller can tell a whole body.

--- a/fleet/send_request.ts
+++ b/fleet/send_request.ts
@@ -39,7 +39,8 @@
   }
 }
 
-/** The body starts with a JSON object that repeats the key. */
+/** The body starts with a JSON object that repeats the key, and ends a line. */
 function isOwn(body: string, key: string): boolean {
-  return body.slice(0, 400).includes(`"key":${JSON.stringify(key)}`);
+  return body.endsWith("\n") &&
+    body.slice(0, 400).includes(`"key":${JSON.stringify(key)}`);
 }
--- a/standin/server/run_operation.ts
+++ b/standin/server/run_operation.ts
@@ -65,9 +65,14 @@
   if (key === undefined) return;
   const run = `${operation.path} ${key}`;
   state.runs.set(run, (state.runs.get(run) ?? 0) + 1);
-  const { journal } = state.settings;
   // Written before the work begins, so that it outlives a killed process.
-  if (journal !== undefined) appendFileSync(journal, `${run}\n`);
+  note(state, run);
+}
+
+function note({ settings }: ServerState, line: string): void {
+  if (settings.journal !== undefined) {
+    appendFileSync(settings.journal, `${line}\n`);
+  }
 }
 
 async function takeSlot(state: ServerState): Promise<void> {
@@ -140,8 +145,11 @@
       headers,
       signal,
     });
-    await nested.body.dump();
-    return nested.statusCode >= 300 ? `${path} ${nested.statusCode}` : null;
+    const body = await nested.body.text();
+    if (nested.statusCode >= 300) return `${path} ${nested.statusCode}`;
+    const own = body.includes(`"key":${JSON.stringify(key ?? "")}`);
+    if (!own || !body.endsWith("\n")) note(state, `wrong ${path} ${key}`);
+    return null;
   } catch (error) {
     return `${path} ${(error as Error).message}`;
   }
@@ -157,7 +165,8 @@
   const { service, host } = state.settings;
   const key = request.headers[KEY_HEADER] ?? "";
   const head = JSON.stringify({ service, server: host, key });
-  const body = head.padEnd(operation.bytes, ".");
+  // The newline shows a reader that the body is whole.
+  const body = `${head.padEnd(operation.bytes - 1, ".")}\n`;
   if (state.control.mode === "truncate") {
     response.writeHead(200, {
       "content-length": String(body.length),
