Connect departments, leaving marks and epochs between the modules

Cause: the relay reported one level for all departments, routing chose the same connection subset on every daemon, a leaving mark could not tell a new entry, and each first control message to a peer was sent twice because its expected epoch lacked the generation. Outcomes unknown to a daemon that had itself answered counted as its own failure and could eject daemons in front of a slow service. Change: levels, learning and screening by department; address and entry sequence given to routing; epochs from epochOf; an unknown outcome that came with a load report is no failure of that daemon; departments not in the settings share one name; the daemon departs at the end of its shutdown; gossip rounds are jittered.

--- a/src/daemon/create_control_fetches.ts
+++ b/src/daemon/create_control_fetches.ts
@@ -2,9 +2,12 @@
 import type { Directory } from "../membership/directory.ts";
 import { createControlFetch } from "../security/create_control_fetch.ts";
 import { createSigner } from "../security/create_signer.ts";
+import { epochOf } from "../security/epoch_of.ts";
 import type { ControlFetches } from "./control_fetches.ts";
 
-const TIMEOUT_MS = 500;
+const TIMEOUT_MS = 1_000;
+/** An indirect probe waits for a probe that another daemon sends. */
+const SLOW_TIMEOUT_MS = 2_500;
 const KEEP_ALIVE_MS = 5_000;
 
 /** Creates the signed fetches of a daemon. */
@@ -20,12 +23,16 @@
     keepAliveTimeout: KEEP_ALIVE_MS,
     connect: { timeout: TIMEOUT_MS },
   });
-  const expectedEpoch = (recipient: string) =>
-    directory.members.get(recipient)?.entry.instance;
+  const expectedEpoch = (recipient: string) => {
+    const instance = directory.members.get(recipient)?.entry.instance;
+    return instance === undefined
+      ? undefined
+      : epochOf({ instance, generation: 0 });
+  };
   const options = { signer, dispatcher, expectedEpoch };
   return {
     fetch: createControlFetch({ ...options, timeoutMs: TIMEOUT_MS }),
-    slowFetch: createControlFetch({ ...options, timeoutMs: 2 * TIMEOUT_MS }),
+    slowFetch: createControlFetch({ ...options, timeoutMs: SLOW_TIMEOUT_MS }),
     close: () => dispatcher.destroy(),
   };
 }
--- a/src/daemon/create_relay.ts
+++ b/src/daemon/create_relay.ts
@@ -23,7 +23,7 @@
     ...parts,
     address,
     log: createLogger("relay"),
-    routing: createRouting(daemon.dataCentre),
+    routing: createRouting(daemon.dataCentre, address),
     shedding: createShedding(),
     server: null,
     admission: null,
@@ -36,6 +36,7 @@
     joined: new Set(),
     open: new Set(),
     lastId: 0,
+    departments: new Set(Object.keys(settings.departments)),
     limits: {
       requestBody: limits.requestBodyKib * KIB,
       connectionsPerPeer: limits.connectionsPerPeer,
--- a/src/daemon/start_daemon.ts
+++ b/src/daemon/start_daemon.ts
@@ -3,6 +3,7 @@
 import { createLogger } from "../core/create_logger.ts";
 import { advanceDrain } from "../drain/advance_drain.ts";
 import { beginDrain } from "../drain/begin_drain.ts";
+import { depart } from "../membership/depart.ts";
 import { leave as leaveDirectory } from "../membership/leave.ts";
 import type { Settings } from "../settings/settings.ts";
 import { closeConnections } from "./close_connections.ts";
@@ -33,8 +34,10 @@
   const stopTimers = startTimers(parts);
   const { address, ingressPort, peerPort, localPort } = settings.daemon;
   log("listening", { address, ingressPort, peerPort, localPort });
-  const done = drained(parts).then(() => {
+  const done = drained(parts).then(async () => {
     stopTimers();
+    depart(parts.resolve(Token.directory), parts.resolve(Token.clock)());
+    await parts.resolve(Token.gossiper).pushOwn();
     for (const server of servers) {
       server.close();
       server.closeIdleConnections();
--- a/src/daemon/start_timers.ts
+++ b/src/daemon/start_timers.ts
@@ -1,4 +1,5 @@
 import type { DependencyContainer } from "tsyringe";
+import { setWeights } from "../admission/set_weights.ts";
 import { tick } from "../admission/tick.ts";
 import { sweepLedger } from "../execution/sweep_ledger.ts";
 import { keepBootstrap } from "../membership/keep_bootstrap.ts";
@@ -7,6 +8,7 @@
 import { startTickets } from "../relay/start_tickets.ts";
 import { useServer } from "../relay/use_server.ts";
 import { sweepResends } from "../retries/sweep_resends.ts";
+import { departmentWeights } from "../rules/department_weights.ts";
 import { sweepObservations } from "../routing/sweep_observations.ts";
 import { sweepShedding } from "../shedding/sweep_shedding.ts";
 import { Token } from "./token.ts";
@@ -25,6 +27,7 @@
   const clock = parts.resolve(Token.clock);
   const relay = parts.resolve(Token.relay);
   const directory = parts.resolve(Token.directory);
+  const random = parts.resolve(Token.random);
   const gossiper = parts.resolve(Token.gossiper);
   const keeper = parts.resolve(Token.keeper);
   const timers = [
@@ -47,8 +50,12 @@
       if (gone) useServer(relay, null);
     }, ADMISSION_TICK_MS),
     setInterval(() => keeper.tick(), RULES_TICK_MS),
+    setInterval(weighDepartments(parts), SWEEP_MS),
   ];
-  const rounds = repeat(() => gossiper.round().then(() => GOSSIP_MS));
+  // Jitter keeps daemons that started together from acting in step.
+  const rounds = repeat(() =>
+    gossiper.round().then(() => GOSSIP_MS * (0.9 + 0.2 * random()))
+  );
   const bootstrap = repeat(() => joinOnce(parts));
   return () => {
     for (const timer of timers) clearInterval(timer);
@@ -57,6 +64,20 @@
   };
 }
 
+/** Passes weights of departments on to admission control when rules change. */
+function weighDepartments(parts: DependencyContainer): () => void {
+  const rules = parts.resolve(Token.rules);
+  const relay = parts.resolve(Token.relay);
+  let sequence = 0;
+  return () => {
+    const { admission, server } = relay;
+    const unchanged = sequence === rules.record.sequence;
+    if (admission === null || server === null || unchanged) return;
+    sequence = rules.record.sequence;
+    setWeights(admission, departmentWeights(rules, server.service));
+  };
+}
+
 /** Reads and keeps the bootstrap rows; returns when to do it again, in ms. */
 async function joinOnce(parts: DependencyContainer): Promise<number> {
   const { stores } = parts.resolve(Token.platform);
--- a/src/relay/inbound_feedback.ts
+++ b/src/relay/inbound_feedback.ts
@@ -1,3 +1,4 @@
+import { levelFor } from "../admission/level_for.ts";
 import { load } from "../admission/load.ts";
 import { issueToken } from "../execution/issue_token.ts";
 import { closeAccount } from "../retries/close_account.ts";
@@ -24,7 +25,9 @@
     unspent: parent === null
       ? attempt.context.retries
       : closeAccount(parent.account),
-    level: relay.admission?.level ?? null,
+    level: relay.admission === null
+      ? null
+      : levelFor(relay.admission, attempt.context.department),
     load: relay.admission === null ? null : load(relay.admission),
     tokens,
     overloadedBelow: parent?.overloadedBelow ?? false,
--- a/src/relay/learn_from.ts
+++ b/src/relay/learn_from.ts
@@ -2,6 +2,7 @@
 import type { Outcome } from "../outcomes/outcome.ts";
 import { end } from "../routing/end.ts";
 import { learn } from "../shedding/learn.ts";
+import type { Call } from "./call.ts";
 import type { Feedback } from "./feedback.ts";
 import type { Relay } from "./relay.ts";
 
@@ -11,7 +12,7 @@
 /** Passes what an attempt has shown to routing, shedding and token stock. */
 export function learnFrom(
   relay: Relay,
-  service: string,
+  { service, context: { department } }: Call,
   { address, outcome, feedback }: Ending,
 ): void {
   const now = relay.clock();
@@ -22,6 +23,7 @@
   }
   const { level } = feedback;
   if (level !== null) {
-    learn(relay.shedding, { service, daemon: address, level }, now);
+    const report = { service, daemon: address, level, department };
+    learn(relay.shedding, report, now);
   }
 }
--- a/src/relay/pick_daemon.ts
+++ b/src/relay/pick_daemon.ts
@@ -27,7 +27,12 @@
   const daemons = addressesOf(candidates);
   const screened = screen(
     relay.shedding,
-    { service, daemons, priority: priority(call.context) },
+    {
+      service,
+      daemons,
+      priority: priority(call.context),
+      department: call.context.department,
+    },
     now,
   );
   if (screened.kind === "shed") return none("overload");
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -49,6 +49,8 @@
   open: Set<Open>;
   /** Number of the latest id given by `nextId`. */
   lastId: number;
+  /** Departments of the settings. */
+  departments: ReadonlySet<string>;
   isLeaving: () => boolean;
   candidates: (service: string) => readonly Candidate[];
   serviceRule: (service: string) => ServiceRule | undefined;
--- a/src/relay/root_context.ts
+++ b/src/relay/root_context.ts
@@ -21,13 +21,13 @@
   rule: RequestRule,
 ): { ok: true; value: Context } | { ok: false; header: string } {
   const requestId = headers[Header.request] ?? nextId(relay);
-  const department = headers[Header.department] ?? NO_DEPARTMENT;
+  const named = headers[Header.department] ?? NO_DEPARTMENT;
   const token = headers[Header.token] ?? null;
   const deadline = headers[Header.deadline] ?? String(rule.deadlineMs);
   if (!matches(ID, requestId)) return { ok: false, header: Header.request };
-  if (!matches(NAME, department)) {
-    return { ok: false, header: Header.department };
-  }
+  if (!matches(NAME, named)) return { ok: false, header: Header.department };
+  // Made-up names would get shares of their own and grow the queue's state.
+  const department = relay.departments.has(named) ? named : NO_DEPARTMENT;
   if (token !== null && !matches(TOKEN, token)) {
     return { ok: false, header: Header.token };
   }
--- a/src/relay/send_attempt.ts
+++ b/src/relay/send_attempt.ts
@@ -35,7 +35,7 @@
   const settle = (outcome: Outcome, feedback: Feedback) => {
     forwarding.abandon = null;
     reclaim(call.account, { allocated, unspent: feedback.unspent });
-    learnFrom(relay, call.service, { address, outcome, feedback });
+    learnFrom(relay, call, { address, outcome, feedback });
   };
   forwarding.abandon = (outcome) => settle(outcome, noFeedback);
   const reply = attemptReply(relay, forwarding, { target, settle });
--- a/src/relay/takes_retry.ts
+++ b/src/relay/takes_retry.ts
@@ -48,6 +48,7 @@
       daemon: address,
       priority: wanted,
       rejectedAt: level ?? 0,
+      department: context.department,
     }, now)
   );
 }
--- a/src/relay/use_server.ts
+++ b/src/relay/use_server.ts
@@ -1,5 +1,6 @@
 import { Pool } from "undici";
 import { createAdmission } from "../admission/create_admission.ts";
+import { setSlots } from "../admission/set_slots.ts";
 import type { Announcement } from "../membership/announcement.ts";
 import type { Relay } from "./relay.ts";
 
@@ -32,7 +33,7 @@
       bodyTimeout: 0,
     });
   }
-  if (relay.admission === null) {
-    relay.admission = createAdmission(announcement.slots);
-  }
+  const { slots } = announcement;
+  if (relay.admission === null) relay.admission = createAdmission(slots);
+  if (relay.admission.slots !== slots) setSlots(relay.admission, slots);
 }
--- a/src/routing/end.ts
+++ b/src/routing/end.ts
@@ -33,7 +33,7 @@
   if (plan !== undefined && left(ending.outcome)) {
     markLeaving(plan, ending.address);
   }
-  LEARN[verdict(ending.outcome)](observation, plan, now);
+  LEARN[verdict(ending)](observation, plan, now);
   observation.probing = false;
 }
 
--- a/src/routing/verdict.ts
+++ b/src/routing/verdict.ts
@@ -3,6 +3,8 @@
 /** What an attempt's outcome says about the daemon. */
 type Verdict = "alive" | "failure" | "nothing";
 
+type Ending = { outcome: Outcome; load: number | null };
+
 /** Outcomes that this daemon or the caller decides, not the other daemon. */
 const OWN_REASONS: ReadonlySet<string> = new Set([
   "cancelled",
@@ -17,10 +19,13 @@
  * Judges a daemon by the outcome of an attempt. An overload rejection shows
  * that it is alive: ejecting it would move its load to the others.
  */
-export function verdict(outcome: Outcome): Verdict {
+export function verdict({ outcome, load }: Ending): Verdict {
   if (outcome.kind === "answered") return "alive";
   if (outcome.kind === "unknown") {
-    return outcome.reason === "cancelled" ? "nothing" : "failure";
+    // With a load report the daemon itself has answered: what was lost is
+    // behind it, such as a slow service further down.
+    const nothing = outcome.reason === "cancelled" || load !== null;
+    return nothing ? "nothing" : "failure";
   }
   if (FAILED.has(outcome.reason)) return "failure";
   return OWN_REASONS.has(outcome.reason) ? "nothing" : "alive";
