Keep control characters of daemons out of messages about rules

Cause: only tables were protected; messages of a submit carry text of the daemon and of the store to the terminal. Conclusion: a message with an escape sequence is shown with question marks.

--- a/src/cli/format_table.ts
+++ b/src/cli/format_table.ts
@@ -1,8 +1,10 @@
+import { printable } from "./printable.ts";
+
 const GAP = "  ";
 
 /** Aligns rows of text in columns; the first row is the header. */
 export function formatTable(rows: readonly (readonly string[])[]): string {
-  const cells = rows.map((row) => row.map(printable));
+  const cells = rows.map((row) => row.map(shown));
   const widths: number[] = [];
   for (const row of cells) {
     row.forEach((cell, column) => {
@@ -14,7 +16,6 @@
   ).join("\n") + "\n";
 }
 
-/** Text of other parties must not control the terminal. */
-function printable(cell: string): string {
-  return cell === "" ? "-" : cell.replace(/\p{Cc}/gu, "?");
+function shown(cell: string): string {
+  return cell === "" ? "-" : printable(cell);
 }
--- a/src/cli/report_submit.ts
+++ b/src/cli/report_submit.ts
@@ -1,5 +1,6 @@
 import type { Environment } from "./environment.ts";
 import { ExitStatus } from "./exit_status.ts";
+import { printable } from "./printable.ts";
 import { reportIssues } from "./report_issues.ts";
 import type { SubmitAnswer } from "./submit_answer.ts";
 
@@ -74,10 +75,10 @@
   const report = REPORT[answer.kind] as (answer: SubmitAnswer) => Report;
   const { status, text } = report(answer);
   if (json) out(`${JSON.stringify(answer)}\n`);
-  else if (PROGRESS.has(answer.kind)) out(`${text}\n`);
+  else if (PROGRESS.has(answer.kind)) out(`${printable(text)}\n`);
   else {
     if ("issues" in answer) err(reportIssues(file, answer.issues));
-    err(`${text}\n`);
+    err(`${printable(text)}\n`);
   }
   return status;
 }
--- a/src/cli/run_test.ts
+++ b/src/cli/run_test.ts
@@ -196,7 +196,7 @@
     [{ kind: "rejected", changeId: "c1", issues: [] }, 11],
     [{ kind: "unreachable", message: "refused" }, 3],
     [{ kind: "unavailable", changeId: "c1", message: "store down" }, 6],
-    [{ kind: "unknown", changeId: "c1", message: "timeout" }, 5],
+    [{ kind: "unknown", changeId: "c1", message: "time\u001b[2Jout" }, 5],
   ] as const;
   const args = ["--department", "bakery", "--key", SAMPLE];
   for (const [answer, expected] of cases) {
@@ -206,6 +206,7 @@
       { submit },
     );
     t.is(submitted.status, expected, answer.kind);
+    t.false(`${submitted.out}${submitted.err}`.includes("\u001b"));
   }
 });
 
