Stop daemons without cutting off responses, and let drains end

Cause: three faults of the planned shutdown. `close` and `closeIdleConnections` of node:http destroy a connection whose response has been ended, even where a slow reader has not received all of it. A connection that never sent a request kept the process alive. Callers that went on sending to the ingress listener kept a leaving daemon in flight for ever.

Change: listeners follow their connections. A leaving daemon marks each response `connection: close`, takes no new connection of callers after the linger time, and ends a connection only after its response. The entry is marked `gone` as the last act. A daemon whose server leaves gives no tokens.

Ruled out: the linger time and the in-flight count; the same requests passed with the server's own planned stop before the change.

--- a/src/daemon/listen.ts
+++ b/src/daemon/listen.ts
@@ -1,4 +1,7 @@
-import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer, type RequestListener } from "node:http";
+import { Server as NetServer } from "node:net";
+import type { Listener } from "./listener.ts";
+import { trackConnections } from "./track_connections.ts";
 
 const KEEP_ALIVE_MS = 60_000;
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -12,13 +15,31 @@
 export function listen(
   listener: RequestListener,
   { host, port, maxHeaderSize }: Options,
-): Promise<Server> {
-  const server = createServer({ maxHeaderSize }, listener);
+): Promise<Listener> {
+  const server = createServer({ maxHeaderSize });
+  const connections = trackConnections(server);
+  // Added after the tracking, which marks responses before they are written.
+  server.on("request", listener);
   server.keepAliveTimeout = KEEP_ALIVE_MS;
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
+  let closed: Promise<void> | null = null;
+  const close = () =>
+    closed ??= new Promise<void>((resolve) => {
+      // `close` of node:http destroys each connection whose response has been
+      // ended, even where a slow reader has not received all of it.
+      NetServer.prototype.close.call(server, () => {
+        server.close();
+        resolve();
+      });
+      connections.close();
+    });
   return new Promise((resolve, reject) => {
     server.on("error", reject);
-    server.listen(port, host, () => resolve(server));
+    server.listen(
+      port,
+      host,
+      () => resolve({ retire: connections.retire, close }),
+    );
   });
 }
--- a/src/daemon/open_listeners.ts
+++ b/src/daemon/open_listeners.ts
@@ -1,4 +1,4 @@
-import type { RequestListener, Server } from "node:http";
+import type { RequestListener } from "node:http";
 import type { DependencyContainer } from "tsyringe";
 import { createLogger } from "../core/create_logger.ts";
 import { createControlRouter } from "../membership/create_control_router.ts";
@@ -9,6 +9,7 @@
 import { createControlHandler } from "../security/create_control_handler.ts";
 import { ingressApp } from "./ingress_app.ts";
 import { listen } from "./listen.ts";
+import type { Listener } from "./listener.ts";
 import { localApp } from "./local_app.ts";
 import { peerApp } from "./peer_app.ts";
 import { rulesMark } from "./rules_mark.ts";
@@ -19,11 +20,13 @@
 const CONTROL = "/-/rpc/";
 const TOKENS = "/-/tokens/";
 
+type Listeners = { peer: Listener; ingress: Listener; local: Listener };
+
 /** Opens the three listeners of a daemon. */
-export function openListeners(
+export async function openListeners(
   parts: DependencyContainer,
   { leave }: { leave: () => void },
-): Promise<Server[]> {
+): Promise<Listeners> {
   const { daemon, limits } = parts.resolve(Token.settings);
   const relay = parts.resolve(Token.relay);
   const control = controlHandler(parts);
@@ -32,7 +35,7 @@
   const local = localApp({ parts, leave });
   const maxHeaderSize = limits.headerKib * KIB;
   const host = daemon.address;
-  return Promise.all([
+  const opened = await Promise.all([
     listen((request, response) => {
       if (isUnder(CONTROL, request.url)) return void control(request, response);
       if (isUnder(RESERVED, request.url)) return peer(request, response);
@@ -48,6 +51,12 @@
       handleOutbound(relay, request, response);
     }, { host: daemon.localAddress, port: daemon.localPort, maxHeaderSize }),
   ]);
+  const [peerListener, ingressListener, localListener] = opened;
+  return {
+    peer: peerListener,
+    ingress: ingressListener,
+    local: localListener,
+  };
 }
 
 function isUnder(prefix: string, url: string | undefined): boolean {
--- a/src/daemon/peer_app.ts
+++ b/src/daemon/peer_app.ts
@@ -24,7 +24,8 @@
     send(response, 200, running ? "running" : "not-known");
   },
   "/-/tokens": (relay, query, response) => {
-    if (relay.isLeaving() || relay.server === null) {
+    const { server } = relay;
+    if (relay.isLeaving() || server === null || server.state === "leaving") {
       return send(response, 503, "leaving");
     }
     const count = tokenCount(query);
--- a/src/daemon/start_daemon.ts
+++ b/src/daemon/start_daemon.ts
@@ -3,6 +3,7 @@
 import { createLogger } from "../core/create_logger.ts";
 import { advanceDrain } from "../drain/advance_drain.ts";
 import { beginDrain } from "../drain/begin_drain.ts";
+import { depart } from "../membership/depart.ts";
 import { leave as leaveDirectory } from "../membership/leave.ts";
 import type { Settings } from "../settings/settings.ts";
 import { closeConnections } from "./close_connections.ts";
@@ -28,41 +29,53 @@
 export async function startDaemon(settings: Settings): Promise<Daemon> {
   const parts = createContainer(settings);
   const log = createLogger("daemon");
-  const leave = () => beginLeaving(parts);
-  const servers = await openListeners(parts, { leave });
+  const leave = () => {
+    if (!beginLeaving(parts)) return;
+    listeners.ingress.retire();
+    listeners.peer.retire();
+  };
+  const listeners = await openListeners(parts, { leave });
   const stopTimers = startTimers(parts);
   const { address, ingressPort, peerPort, localPort } = settings.daemon;
   log("listening", { address, ingressPort, peerPort, localPort });
-  const done = drained(parts).then(() => {
+  // Callers that go on sending would keep a leaving daemon for ever.
+  const closing = () => void listeners.ingress.close();
+  const done = drained(parts, { closing }).then(async () => {
+    const { ingress, peer, local } = listeners;
+    await Promise.all([ingress.close(), peer.close(), local.close()]);
     stopTimers();
-    for (const server of servers) {
-      server.close();
-      server.closeIdleConnections();
-    }
+    depart(parts.resolve(Token.directory), parts.resolve(Token.clock)());
+    await parts.resolve(Token.gossiper).pushOwn();
     log("stopped", { address });
-    return closeConnections(parts);
+    await closeConnections(parts);
   });
   return { leave, done };
 }
 
-function beginLeaving(parts: DependencyContainer): void {
+function beginLeaving(parts: DependencyContainer): boolean {
   const now = parts.resolve(Token.clock)();
-  if (!beginDrain(parts.resolve(Token.drain), now)) return;
+  if (!beginDrain(parts.resolve(Token.drain), now)) return false;
   createLogger("daemon")("leaving", {
     open: parts.resolve(Token.relay).open.size,
   });
   leaveDirectory(parts.resolve(Token.directory), now);
   parts.resolve(Token.gossiper).pushOwn();
+  return true;
 }
 
-function drained(parts: DependencyContainer): Promise<void> {
+function drained(
+  parts: DependencyContainer,
+  { closing }: { closing: () => void },
+): Promise<void> {
   const drain = parts.resolve(Token.drain);
   const relay = parts.resolve(Token.relay);
   const clock = parts.resolve(Token.clock);
   return new Promise((resolve) => {
     const timer = setInterval(() => {
       const inFlight = relay.open.size + relay.parents.size;
-      if (advanceDrain(drain, inFlight, clock()) !== "drained") return;
+      const phase = advanceDrain(drain, inFlight, clock());
+      if (phase === "closing") closing();
+      if (phase !== "drained") return;
       clearInterval(timer);
       resolve();
     }, DRAIN_CHECK_MS);
--- /dev/null
+++ b/src/daemon/track_connections.ts
@@ -0,0 +1,51 @@
+import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** A reader that takes nothing for this time has gone, in ms. */
+const STALLED_MS = 30_000;
+
+/** Follows the connections of a server, to close them without a loss. */
+export function trackConnections(server: Server) {
+  const sockets = new Map<Socket, ServerResponse | null>();
+  let retiring = false;
+  let closing = false;
+  const retire = () => {
+    retiring = true;
+    for (const response of sockets.values()) markLast(response);
+  };
+  server.on("connection", (socket) => {
+    sockets.set(socket, null);
+    socket.once("close", () => sockets.delete(socket));
+  });
+  server.on("request", ({ socket }, response) => {
+    sockets.set(socket, response);
+    if (retiring) markLast(response);
+    if (closing) boundStall(response);
+    response.once("close", () => {
+      if (sockets.get(socket) !== response) return;
+      sockets.set(socket, null);
+      if (closing) socket.end();
+    });
+  });
+  return {
+    retire,
+    close() {
+      closing = true;
+      retire();
+      for (const [socket, response] of sockets) {
+        if (response === null) socket.destroySoon();
+        else boundStall(response);
+      }
+    },
+  };
+}
+
+function markLast(response: ServerResponse | null): void {
+  if (response?.headersSent === false) {
+    response.setHeader("connection", "close");
+  }
+}
+
+function boundStall(response: ServerResponse): void {
+  response.setTimeout(STALLED_MS, () => response.destroy());
+}
--- a/src/drain/advance_drain.ts
+++ b/src/drain/advance_drain.ts
@@ -7,7 +7,8 @@
 const LINGER_MS = 2_000;
 
 /**
- * Moves on to `drained` once nothing is in flight and the linger time is over.
+ * Moves on to `closing` once the linger time is over, from when the daemon takes
+ * no more connections of callers, and to `drained` once nothing is in flight.
  * There is no upper bound: a planned shutdown cuts off no request, and every
  * request has a deadline of its own.
  */
@@ -16,9 +17,9 @@
   inFlight: number,
   now: number,
 ): Drain["phase"] {
-  const lingered = now - drain.since >= LINGER_MS;
-  if (drain.phase === "leaving" && lingered && inFlight === 0) {
-    drain.phase = "drained";
+  if (drain.phase === "leaving" && now - drain.since >= LINGER_MS) {
+    drain.phase = "closing";
   }
+  if (drain.phase === "closing" && inFlight === 0) drain.phase = "drained";
   return drain.phase;
 }
--- /dev/null
+++ b/test/ask.ts
@@ -0,0 +1,13 @@
+import { getJson } from "../fleet/get_json.ts";
+import type { Member } from "../fleet/member.ts";
+import { Ports } from "../fleet/ports.ts";
+
+/** Calls a route of a daemon's local listener. */
+export function ask<Value = Record<string, unknown>>(
+  daemon: Member,
+  path: string,
+  method = "GET",
+): Promise<Value> {
+  const url = `http://${daemon.host}:${Ports.local}/-/${path}`;
+  return getJson<Value>(url, undefined, method);
+}
--- /dev/null
+++ b/test/drain_test.ts
@@ -0,0 +1,139 @@
+import { execFile } from "node:child_process";
+import { connect } from "node:net";
+import process from "node:process";
+import { promisify } from "node:util";
+import test from "ava";
+import type { Fleet } from "../fleet/fleet.ts";
+import { endMember } from "../fleet/end_member.ts";
+import { getJson } from "../fleet/get_json.ts";
+import type { Member } from "../fleet/member.ts";
+import { Ports } from "../fleet/ports.ts";
+import { ask } from "./ask.ts";
+import { exitStatus } from "./exit_status.ts";
+import { findMember } from "./find_member.ts";
+import { readSlowly } from "./read_slowly.ts";
+import { small } from "./small.ts";
+import { startRequests } from "./start_requests.ts";
+import { until } from "./until.ts";
+import { withFleet } from "./with_fleet.ts";
+
+const east = (service: string) => ({ service, dataCentre: "east" });
+
+/** Puts requests of every kind in flight at the server of front in the east. */
+async function startWork(fleet: Fleet): Promise<() => Promise<string[]>> {
+  const front = findMember(fleet, "daemon", east("front"));
+  const back = findMember(fleet, "daemon", east("back"));
+  const kinds = [
+    { method: "GET", path: "/front/nested", count: 10 },
+    { method: "POST", path: "/front/order", count: 10 },
+  ];
+  const started = await Promise.all(
+    [front, back].flatMap((ingress) =>
+      kinds.map((kind) => startRequests(ingress, kind))
+    ),
+  );
+  const slow = await Promise.all(
+    [front, back].map(({ host }) =>
+      readSlowly(`http://${host}:${Ports.ingress}/front/large`)
+    ),
+  );
+  return async () => {
+    const results = (await Promise.all(started.map((end) => end()))).flat()
+      .map(({ result, reason }) => `${result} ${reason}`.trim());
+    const read = await Promise.all(slow.map((unread) => unread.finish()));
+    const large = read.map(({ status, bytes, whole }) =>
+      whole && status === 200 ? "good" : `broken after ${bytes}`
+    );
+    return [...results, ...large];
+  };
+}
+
+function broken(results: string[]): string[] {
+  return results.filter((result) => result !== "good");
+}
+
+async function inFlight(daemon: Member): Promise<number> {
+  return (await ask<{ inFlight: number }>(daemon, "status")).inFlight;
+}
+
+const WORK = 42;
+
+test.serial("planned stop of a daemon breaks no request", async (t) => {
+  await withFleet({ deployment: small, base: 101 }, async (fleet) => {
+    const daemon = findMember(fleet, "daemon", east("front"));
+    const finish = await startWork(fleet);
+    // A caller that only holds connections must not hold up the stop.
+    const idle = connect(Ports.ingress, daemon.host).on("error", () => {});
+    await until("work in flight", () => inFlight(daemon));
+    daemon.process.kill("SIGTERM");
+    await until(
+      "rejections",
+      async () => (await ask(daemon, "status")).phase !== "serving",
+    );
+    const results = await finish();
+    t.is(results.length, WORK);
+    t.deepEqual(broken(results), []);
+    t.is(await exitStatus(daemon), 0);
+    idle.destroy();
+  });
+});
+
+test.serial("drain ends although callers go on", async (t) => {
+  await withFleet({ deployment: small, base: 102 }, async (fleet) => {
+    const daemon = findMember(fleet, "daemon", east("front"));
+    let ended = false;
+    const results: string[] = [];
+    const callers = Array.from({ length: 4 }, async () => {
+      while (!ended) {
+        const kind = { method: "GET", path: "/front/nested", count: 4 };
+        const all = await (await startRequests(daemon, kind))();
+        if (!ended) results.push(...all.map(({ reason }) => reason));
+      }
+    });
+    await until("load", () => results.length > 16);
+    const run = promisify(execFile);
+    const at = `${daemon.host}:${Ports.local}`;
+    const args = ["dist/nutmegmoor.cjs", "drain", "--daemon", at];
+    await run(process.execPath, args);
+    t.is(await exitStatus(daemon), 0);
+    ended = true;
+    await Promise.all(callers);
+    // A refused connection has carried no request; all else must be answered.
+    t.deepEqual(
+      results.filter((reason) => reason !== "" && reason !== "Error"),
+      [],
+    );
+  });
+});
+
+test.serial("planned stop of a backend server breaks no request", async (t) => {
+  await withFleet({ deployment: small, base: 103 }, async (fleet) => {
+    const daemon = findMember(fleet, "daemon", east("front"));
+    const server = findMember(fleet, "server", east("front"));
+    const finish = await startWork(fleet);
+    await until("work in flight", () => inFlight(daemon));
+    const runs = `http://${server.host}:${Ports.server}/-/runs`;
+    const leave = `http://${server.host}:${Ports.server}/-/leave`;
+    await getJson(leave, {});
+    const results = finish();
+    await until("idle server", async () => {
+      const { inUse } = await getJson<{ inUse: number }>(runs);
+      return inUse === 0 && await inFlight(daemon) === 0;
+    });
+    await endMember(server, "SIGTERM");
+    t.is(server.process.exitCode, 0);
+    t.deepEqual(broken(await results), []);
+  });
+});
+
+test.serial("kill without drain, the naive way, breaks requests", async (t) => {
+  await withFleet({ deployment: small, base: 104 }, async (fleet) => {
+    const daemon = findMember(fleet, "daemon", east("front"));
+    const finish = await startWork(fleet);
+    await until("work in flight", () => inFlight(daemon));
+    await endMember(daemon, "SIGKILL");
+    const results = broken(await finish());
+    t.log(`${results.length} of ${WORK} broken: ${[...new Set(results)]}`);
+    t.true(results.length > 0);
+  });
+});
--- /dev/null
+++ b/test/set_faults.ts
@@ -0,0 +1,17 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import type { Member } from "../fleet/member.ts";
+import { until } from "./until.ts";
+
+/** Cuts off a daemon as `fault_switch.ts` describes, and waits for it. */
+export async function setFaults(
+  daemon: Member,
+  faults: { control?: boolean; hosts?: string[] },
+): Promise<void> {
+  const file = `${daemon.args.at(-1)}.faults`;
+  const text = JSON.stringify(faults);
+  writeFileSync(file, text);
+  await until(
+    `faults of ${daemon.name}`,
+    () => readFileSync(`${file}.seen`, "utf8") === text,
+  );
+}
