Give work again to a server whose leaving went unnoticed

Cause: a daemon that learned of a leaving server only from its rejection excluded it until `since` or the sequence of the candidate changed. Candidates carried no sequence and `since` stays for an entry that was `up` before, so the server got no work from this daemon after its return.

Change: candidates carry the sequence of their entry; a change of it renews the cached list.

Ruled out: the routing module, which compares both already.

Conclusion: an exclusion lasts exactly as long as the version it was learned on.

--- a/src/membership/index_offer.ts
+++ b/src/membership/index_offer.ts
@@ -35,6 +35,7 @@
 }
 
 function shows({ entry, since }: Member): string {
-  const { server, dataCentre } = entry;
-  return `${dataCentre} ${server?.slots} ${server?.warmupMs} ${since}`;
+  const { server, dataCentre, sequence } = entry;
+  const { slots, warmupMs } = server ?? {};
+  return `${dataCentre} ${slots} ${warmupMs} ${since} ${sequence}`;
 }
