--- a/src/daemon/peer_app.ts
+++ b/src/daemon/peer_app.ts
@@ -26,7 +26,8 @@
     send(response, 200, running.join(","));
   },
   "/-/tokens": (relay, query, response) => {
-    if (relay.isLeaving() || relay.server === null) {
+    const { server } = relay;
+    if (relay.isLeaving() || server === null || server.state === "leaving") {
       return send(response, 503, "leaving");
     }
     const count = tokenCount(query);
