Prove that not-run is never said of a request that ran

Cause: invariant 4 had no test on separate processes.

Change: a process test sends views and orders through load shedding by the server, an overload, a paused server, a killed server, and a killed daemon together with a paused server, and compares each not-run with the journals of the backend servers.

Conclusion: invariant 4 holds in these cases.

--- /dev/null
+++ b/test/not_run_test.ts
@@ -0,0 +1,144 @@
+import test from "ava";
+import type { Fleet } from "../fleet/fleet.ts";
+import { endMember } from "../fleet/end_member.ts";
+import { burst } from "./support/burst.ts";
+import { membersOf } from "./support/members_of.ts";
+import { openIngress } from "./support/open_ingress.ts";
+import { orders } from "./support/orders.ts";
+import { Programs } from "./support/programs.ts";
+import { readRuns } from "./support/read_runs.ts";
+import { setModes } from "./support/set_modes.ts";
+import { settleServers } from "./support/settle_servers.ts";
+import { until } from "./support/until.ts";
+import { withFleet } from "./support/with_fleet.ts";
+
+const deployment = orders({
+  dataCentres: ["one", "two"],
+  slots: 20,
+  workMs: 50,
+});
+
+/** One phase; the fault begins once requests of the phase run. */
+type Phase = {
+  name: string;
+  count: number;
+  before?: (fleet: Fleet) => Promise<void>;
+  fault?: (fleet: Fleet) => Promise<unknown>;
+  after?: (fleet: Fleet) => Promise<void>;
+};
+
+const first = (fleet: Fleet, kind: "daemon" | "server") =>
+  membersOf(fleet, kind, "front")[0]!;
+const second = (fleet: Fleet, kind: "daemon" | "server") =>
+  membersOf(fleet, kind, "front")[1]!;
+const stop = (member: ReturnType<typeof first>) =>
+  Promise.resolve(member.process.kill("SIGSTOP"));
+
+const PHASES: Phase[] = [
+  {
+    name: "shed",
+    count: 40,
+    before: (fleet) => setModes(fleet, { mode: "shed" }, "front"),
+    after: (fleet) => setModes(fleet, { mode: "normal" }, "front"),
+  },
+  { name: "overload", count: 600 },
+  {
+    name: "pause",
+    count: 60,
+    fault: (fleet) => stop(first(fleet, "server")),
+    after: (fleet) => resume(first(fleet, "server")),
+  },
+  {
+    name: "kill-server",
+    count: 60,
+    fault: (fleet) => endMember(first(fleet, "server")),
+  },
+  {
+    name: "kill-daemon-and-pause-server",
+    count: 60,
+    fault: (fleet) =>
+      Promise.all([
+        stop(second(fleet, "server")),
+        endMember(second(fleet, "daemon")),
+      ]),
+    after: (fleet) => resume(second(fleet, "server")),
+  },
+];
+
+function resume(member: ReturnType<typeof first>): Promise<void> {
+  member.process.kill("SIGCONT");
+  return Promise.resolve();
+}
+
+/** Returns what callers were told in a phase, by result. */
+async function runPhase(
+  fleet: Fleet,
+  { name, count, before, fault, after }: Phase,
+): Promise<{ told: Record<string, number>; refused: string[] }> {
+  // Callers use the daemons of the other service, which outlive the faults.
+  const pools = openIngress(fleet, "back");
+  const servers = membersOf(fleet, "server", "front")
+    .filter(({ process: { signalCode } }) => signalCode === null)
+    .map(({ host }) => host);
+  const limits = { timeoutMs: 4_000, deadlineMs: 1_500 };
+  try {
+    await until(async () => {
+      const probes = await burst({
+        ...limits,
+        pools,
+        prefix: `before-${name}`,
+        count: 8,
+      });
+      return probes.every(({ result }) => result === "good") &&
+        servers.every((host) => hasRun(fleet, host, `before-${name}`));
+    });
+    await before?.(fleet);
+    const sent = burst({ ...limits, pools, prefix: name, count });
+    if (fault !== undefined) {
+      let ended = false;
+      sent.then(() => ended = true);
+      await until(() =>
+        ended || servers.every((host) => hasRun(fleet, host, name))
+      );
+      await fault(fleet);
+    }
+    const samples = await sent;
+    await after?.(fleet);
+    const told: Record<string, number> = {};
+    for (const { result } of samples) told[result] = (told[result] ?? 0) + 1;
+    const refused = samples.filter(({ result }) => result === "not-run")
+      .map(({ run }) => run);
+    return { told, refused };
+  } finally {
+    await Promise.all(pools.map((pool) => pool.destroy()));
+  }
+}
+
+function hasRun(fleet: Fleet, host: string, prefix: string): boolean {
+  return [...readRuns(fleet, host).keys()]
+    .some((run) => run.startsWith(`/order ${prefix}-`));
+}
+
+test.serial("not-run is never said of a request that ran", async (t) => {
+  const run = (program: string[], base: number) =>
+    withFleet({ deployment, base, program }, async (fleet) => {
+      const phases = [];
+      for (const phase of PHASES) phases.push(await runPhase(fleet, phase));
+      await settleServers(fleet);
+      const runs = readRuns(fleet);
+      t.log(phases.map(({ told }) => JSON.stringify(told)).join("\n"));
+      return {
+        refused: phases.flatMap(({ refused }) => refused).length,
+        false: phases.flatMap(({ refused }) => refused)
+          .filter((each) => runs.has(each)),
+        ran: runs.size,
+        unknown: phases.reduce((sum, { told }) => sum + (told.unknown ?? 0), 0),
+      };
+    });
+  const product = await run(Programs.product, 85);
+  const naive = await run(Programs.naive, 86);
+  t.log({ product, naive: { ...naive, false: naive.false.length } });
+  t.true(product.refused > 0 && product.ran > 0 && product.unknown > 0);
+  t.deepEqual(product.false, []);
+  t.true(naive.false.length > 0);
+});
