Adapt the concurrency limit by failures, and by a server's own time only

Cause: with nested calls and a busy machine, the time that requests hold a slot rose above twice its baseline without any fault of the server. Change: time spent waiting for nested calls is taken off the service time that the limiter sees, and a deadline that passed in a nested call is no failure of the server. The default algorithm lowers the limit on failures only; a slow server is met by its queueing delay and the admission level. AIMD and gradient on service times stay in the table. Ruled out: the admission level, which follows from limit and service time. The load generator counts arrivals by elapsed time and sends from four addresses, since one address shares one resend bucket.

--- a/bench/decision_cost.ts
+++ b/bench/decision_cost.ts
@@ -106,7 +106,7 @@
       one();
       const ticket = running.pop();
       if (ticket === undefined) continue;
-      const ending = { ticket, serviceMs: 10, outcome: ANSWERED };
+      const ending = { ticket, serviceMs: 10, nestedMs: 0, outcome: ANSWERED };
       running.push(...finish(admission, ending, 0).start);
     }
   });
--- a/bench/goodput.ts
+++ b/bench/goodput.ts
@@ -2,6 +2,8 @@
 import process from "node:process";
 import { ulaanbaatar } from "../deployments/ulaanbaatar.ts";
 import { vitiLevu } from "../deployments/viti_levu.ts";
+import type { Fleet } from "../fleet/fleet.ts";
+import { getJson } from "../fleet/get_json.ts";
 import { Ports } from "../fleet/ports.ts";
 import { runLoad } from "../fleet/run_load.ts";
 import { startFleet } from "../fleet/start_fleet.ts";
@@ -29,6 +31,22 @@
 execFileSync("node", ["scripts/build.mjs"]);
 for (const version of chosen.split(",")) await measure(version);
 
+type Status = Record<"service" | "limit" | "queued" | "level", unknown>;
+
+/** Prints what admission control of each server does under the load. */
+async function printAdmission(fleet: Fleet): Promise<void> {
+  const daemons = fleet.members.filter(({ kind }) => kind === "daemon");
+  const statuses = await Promise.all(
+    daemons.map(({ host }) =>
+      getJson<Status>(`http://${host}:${Ports.local}/-/status`)
+    ),
+  );
+  const lines = statuses.map(({ service, limit, queued, level }) =>
+    `${service} ${limit}/${queued}/${level}`
+  );
+  console.log(`    limit/queued/level: ${lines.sort().join(", ")}`);
+}
+
 async function measure(version: string): Promise<void> {
   const fleet = await startFleet({
     deployment,
@@ -41,6 +59,7 @@
   console.log("multiple | whole a second | critical | normal | sheddable");
   try {
     for (const multiple of multiples.split(",").map(Number)) {
+      setTimeout(() => printAdmission(fleet), DURATION_MS - 1_000);
       const samples = await runLoad({
         targets,
         traffic: deployment.traffic,
--- a/bench/model/serve.ts
+++ b/bench/model/serve.ts
@@ -50,7 +50,11 @@
   schedule(calendar, serviceMs, () => {
     settle(
       server,
-      finish(admission, { ticket, serviceMs, outcome }, calendar.now),
+      finish(
+        admission,
+        { ticket, serviceMs, nestedMs: 0, outcome },
+        calendar.now,
+      ),
     );
     call.done(!shed);
   });
--- a/fleet/run_load.ts
+++ b/fleet/run_load.ts
@@ -22,22 +22,25 @@
 };
 
 const STEP_MS = 5;
+/** Callers with addresses of their own, since resends are limited by caller. */
+const CALLERS = ["127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14"];
 const CONNECTIONS = 2_000;
 const FAILED = { result: "failed", reason: "" } as const;
 
 /** Runs a load and returns a sample for each request. */
 export async function runLoad(load: Load): Promise<Sample[]> {
-  const pools = load.targets.map((target) =>
-    new Pool(`http://${target}`, {
-      connections: Math.ceil(CONNECTIONS / load.targets.length),
-    })
+  const pools = load.targets.flatMap((target) =>
+    CALLERS.map((caller) => createPool(target, caller, load))
   );
   const running: Promise<Sample>[] = [];
   const start = performance.now();
   let due = 0;
+  let before = 0;
   while (performance.now() - start < load.durationMs) {
     const at = performance.now() - start;
-    due += load.rate(at) * STEP_MS / 1000;
+    // By elapsed time, since timers of a busy process fire late.
+    due += load.rate(at) * (at - before) / 1000;
+    before = at;
     while (running.length < due) {
       const pool = pools[running.length % pools.length]!;
       running.push(runOne(load, pool, { at, number: running.length }));
@@ -50,6 +53,14 @@
   return samples;
 }
 
+function createPool(target: string, caller: string, load: Load): Pool {
+  const count = load.targets.length * CALLERS.length;
+  return new Pool(`http://${target}`, {
+    connections: Math.ceil(CONNECTIONS / count),
+    connect: { localAddress: caller },
+  });
+}
+
 async function runOne(
   load: Load,
   pool: Pool,
--- a/src/admission/algorithms.ts
+++ b/src/admission/algorithms.ts
@@ -31,16 +31,10 @@
 
 /** Ways to adapt the concurrency limit, one step per interval. */
 export const ALGORITHMS: Record<Limiter["algorithm"], Algorithm> = {
+  failures: (limiter, sample) => step(limiter, sample, sample.failing),
   aimd: (limiter, sample) => {
     const slow = sample.meanMs > SLOW_RATIO * limiter.baselineMs;
-    if (sample.failing || slow) {
-      limiter.increases = 0;
-      return limiter.exact * DECREASE;
-    }
-    if (!sample.used) return limiter.exact;
-    limiter.increases += 1;
-    const step = limiter.increases * sample.slots * INCREASE_SHARE;
-    return limiter.exact + Math.max(1, step);
+    return step(limiter, sample, sample.failing || slow);
   },
   gradient: (limiter, sample) => {
     if (sample.failing) return limiter.exact * DECREASE;
@@ -52,3 +46,14 @@
     return limiter.exact + GRADIENT_SMOOTHING * (next - limiter.exact);
   },
 };
+
+function step(limiter: Limiter, sample: Sample, decrease: boolean): number {
+  if (decrease) {
+    limiter.increases = 0;
+    return limiter.exact * DECREASE;
+  }
+  if (!sample.used) return limiter.exact;
+  limiter.increases += 1;
+  const increase = limiter.increases * sample.slots * INCREASE_SHARE;
+  return limiter.exact + Math.max(1, increase);
+}
--- a/src/admission/create_admission.ts
+++ b/src/admission/create_admission.ts
@@ -21,7 +21,7 @@
 
 function createLimiter(slots: number): Limiter {
   return {
-    algorithm: "aimd",
+    algorithm: "failures",
     exact: slots,
     serviceMs: 0,
     baselineMs: 0,
--- a/src/admission/finish.ts
+++ b/src/admission/finish.ts
@@ -5,7 +5,14 @@
 import type { Ticket } from "./ticket.ts";
 
 /** How a request that held a slot ended. */
-type Ending = { ticket: Ticket; serviceMs: number; outcome: Outcome };
+type Ending = {
+  ticket: Ticket;
+  /** How long it held the slot, in ms. */
+  serviceMs: number;
+  /** Part of that in which it waited for nested calls, in ms. */
+  nestedMs: number;
+  outcome: Outcome;
+};
 
 /** Weight of the newest answer in the mean service time. */
 const NEWEST = 0.05;
@@ -21,23 +28,32 @@
 ): { start: Ticket[]; drop: Ticket[] } {
   admission.inFlight = Math.max(0, admission.inFlight - 1);
   if (ending.outcome.kind === "answered") {
-    measure(admission.limiter, ending.serviceMs);
-  } else if (isFailure(ending.outcome)) {
+    measure(admission.limiter, ending);
+  } else if (isFailure(ending)) {
     admission.limiter.failures += 1;
   }
   return fill(admission, now);
 }
 
-function measure(limiter: Limiter, serviceMs: number): void {
+function measure(
+  limiter: Limiter,
+  { serviceMs, nestedMs }: Ending,
+): void {
   limiter.answers += 1;
-  limiter.sumMs += serviceMs;
+  limiter.sumMs += serviceMs - nestedMs;
   limiter.serviceMs = limiter.serviceMs === 0
     ? serviceMs
     : limiter.serviceMs + NEWEST * (serviceMs - limiter.serviceMs);
 }
 
-/** A caller that gives up says nothing about the backend server. */
-function isFailure(outcome: Outcome): boolean {
-  if (outcome.kind === "unknown") return outcome.reason !== "cancelled";
+/**
+ * A caller that gives up says nothing about the backend server, nor does a
+ * deadline that passed while it mostly waited for another service.
+ */
+function isFailure({ outcome, serviceMs, nestedMs }: Ending): boolean {
+  if (outcome.kind === "unknown") {
+    const below = outcome.reason === "deadline" && nestedMs > serviceMs / 2;
+    return outcome.reason !== "cancelled" && !below;
+  }
   return outcome.kind === "not-run" && outcome.reason === "server-shed";
 }
--- a/src/admission/limiter.ts
+++ b/src/admission/limiter.ts
@@ -1,15 +1,15 @@
 /** State of the adaptive concurrency limit. */
 export type Limiter = {
-  algorithm: "aimd" | "gradient";
+  algorithm: "failures" | "aimd" | "gradient";
   /** Limit before rounding. */
   exact: number;
-  /** Mean service time of recent answers, in ms; 0 where none is known. */
+  /** Mean time that recent answers held a slot, in ms; 0: none is known. */
   serviceMs: number;
-  /** Service time without overload, in ms; 0 where none is known. */
+  /** Own service time without overload, in ms; 0 where none is known. */
   baselineMs: number;
   /** Answers since the latest adjustment. */
   answers: number;
-  /** Sum of their service times, in ms. */
+  /** Sum of their service times without nested calls, in ms. */
   sumMs: number;
   /** Shed by the backend server or without a response, since then. */
   failures: number;
--- a/src/relay/end_inbound_call.ts
+++ b/src/relay/end_inbound_call.ts
@@ -3,6 +3,7 @@
 import { revokeToken } from "../execution/revoke_token.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
 import type { InboundCall } from "./inbound_call.ts";
+import type { Parent } from "./parent.ts";
 import type { Relay } from "./relay.ts";
 import { startTickets } from "./start_tickets.ts";
 
@@ -17,6 +18,7 @@
   call.phase = "ended";
   relay.open.delete(call.open);
   relay.parents.delete(call.attempt.context.attemptId);
+  const nestedMs = nestedTime(call.parent, relay.clock());
   for (const child of call.parent.children) child.cancel();
   endExecution(relay, call, outcome);
   if (heldSlot && relay.admission !== null) {
@@ -25,7 +27,7 @@
     const { ticket } = call;
     const decided = finish(
       relay.admission,
-      { ticket, serviceMs, outcome },
+      { ticket, serviceMs, nestedMs, outcome },
       now,
     );
     startTickets(decided, now);
@@ -33,6 +35,13 @@
   return true;
 }
 
+function nestedTime(
+  { children, waitingSince, nestedMs }: Parent,
+  now: number,
+): number {
+  return children.size === 0 ? nestedMs : nestedMs + now - waitingSince;
+}
+
 function endExecution(relay: Relay, call: InboundCall, outcome: Outcome): void {
   if (call.nonce === null) return;
   const { recording } = call;
--- a/src/relay/inbound.ts
+++ b/src/relay/inbound.ts
@@ -121,6 +121,8 @@
       context,
       account: openAccount(context.retries),
       children: new Set(),
+      waitingSince: 0,
+      nestedMs: 0,
       overloadedBelow: false,
     },
     ticket: {
--- /dev/null
+++ b/src/relay/leave_nested.ts
@@ -0,0 +1,12 @@
+import type { Exchange } from "./exchange.ts";
+import type { Parent } from "./parent.ts";
+
+/** Removes a nested call that has ended; overlapping ones count once. */
+export function leaveNested(
+  parent: Parent,
+  child: Exchange,
+  now: number,
+): void {
+  if (!parent.children.delete(child) || parent.children.size > 0) return;
+  parent.nestedMs += now - parent.waitingSince;
+}
--- a/src/relay/outbound_listener.ts
+++ b/src/relay/outbound_listener.ts
@@ -6,11 +6,13 @@
 import type { Call } from "./call.ts";
 import { callRequest } from "./call_request.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { enterNested } from "./enter_nested.ts";
 import type { Exchange } from "./exchange.ts";
 import { forward } from "./forward.ts";
 import { httpReply } from "./http_reply.ts";
 import { identify } from "./identify.ts";
 import { identifyStep } from "./identify_step.ts";
+import { leaveNested } from "./leave_nested.ts";
 import { nextId } from "./next_id.ts";
 import type { Parent } from "./parent.ts";
 import { readBody } from "./read_body.ts";
@@ -98,7 +100,8 @@
     feedback: false,
     done() {
       finished = true;
-      if (child !== null) parent?.children.delete(child);
+      if (child === null || parent === undefined) return;
+      leaveNested(parent, child, relay.clock());
     },
   });
   const exchange = forward(relay, call, reply);
@@ -111,5 +114,5 @@
       response.destroy();
     },
   };
-  parent.children.add(child);
+  enterNested(parent, child, relay.clock());
 }
--- a/src/relay/parent.ts
+++ b/src/relay/parent.ts
@@ -8,6 +8,10 @@
   account: Account;
   /** Nested calls in progress; cancelled together with the parent. */
   children: Set<Exchange>;
+  /** Since when there is a nested call in progress, in ms. */
+  waitingSince: number;
+  /** Time with a nested call in progress before that, in ms. */
+  nestedMs: number;
   /** Whether a nested call was rejected for overload. */
   overloadedBelow: boolean;
 };
--- a/test/support/settle_one.ts
+++ b/test/support/settle_one.ts
@@ -12,7 +12,7 @@
 ): { start: Ticket[]; drop: Ticket[] } {
   return finish(
     admission,
-    { ticket: ticket(), serviceMs: 10, outcome },
+    { ticket: ticket(), serviceMs: 10, nestedMs: 0, outcome },
     now,
   );
 }
