Apply the setting for cached responses

Cause: `cached-responses-mib` was parsed and documented, but createContainer made the ledger with its own default, so the setting had no effect. Conclusion: the page and the program agree.

--- a/src/daemon/create_container.ts
+++ b/src/daemon/create_container.ts
@@ -25,26 +25,47 @@
 import { rulesMark } from "./rules_mark.ts";
 import { Token } from "./token.ts";
 
+const MIB = 1024 * 1024;
+
 /** Registers the parts of a daemon; each is created when it is first needed. */
 export function createContainer(settings: Settings): DependencyContainer {
   const parts = container.createChildContainer();
-  const { address, peerPort, dataCentre, installationKey } = settings.daemon;
-  const own = `${address}:${peerPort}`;
+  registerValues(parts, settings);
+  registerState(parts, settings);
+  registerControl(parts, settings);
+  parts.register(Token.relay, { useFactory: instanceCachingFactory(relay) });
+  parts.register(Token.keeper, { useFactory: instanceCachingFactory(keeper) });
+  parts.register(Token.gossiper, {
+    useFactory: instanceCachingFactory(gossiper),
+  });
+  return parts;
+}
+
+function ownAddress({ daemon }: Settings): string {
+  return `${daemon.address}:${daemon.peerPort}`;
+}
+
+function registerValues(parts: DependencyContainer, settings: Settings): void {
+  const maxCachedBytes = settings.limits.cachedResponsesMib * MIB;
+  const ledger = createLedger(ownAddress(settings), { maxCachedBytes });
   parts.register(Token.settings, { useValue: settings });
   parts.register(Token.clock, { useValue: () => performance.now() });
   parts.register(Token.random, { useValue: Math.random });
-  parts.register(Token.ledger, { useValue: createLedger(own) });
+  parts.register(Token.ledger, { useValue: ledger });
   parts.register(Token.drain, { useValue: createDrain() });
   parts.register(Token.metrics, { useValue: createMetrics() });
   parts.register(Token.platform, { useValue: createStores(settings) });
   parts.register(Token.seeds, {
     useValue: { addresses: [...settings.daemon.peers] },
   });
+}
+
+function registerState(parts: DependencyContainer, settings: Settings): void {
   parts.register(Token.directory, {
     useFactory: instanceCachingFactory((parts) =>
       createDirectory({
-        address: own,
-        dataCentre,
+        address: ownAddress(settings),
+        dataCentre: settings.daemon.dataCentre,
         instance: parts.resolve(Token.ledger).instance,
         incarnation: Date.now(),
       }, parts.resolve(Token.clock)())
@@ -55,21 +76,23 @@
       createRules({ departmentKeys: departmentKeys(settings) })
     ),
   });
+}
+
+/** Registers what sends and receives control messages. */
+function registerControl(parts: DependencyContainer, settings: Settings): void {
+  const key = settings.daemon.installationKey;
   parts.register(Token.guard, {
     useFactory: instanceCachingFactory((parts) =>
       createGuard({
-        key: installationKey,
-        address: own,
+        key,
+        address: ownAddress(settings),
         instance: parts.resolve(Token.ledger).instance,
       })
     ),
   });
   parts.register(Token.fetches, {
     useFactory: instanceCachingFactory((parts) =>
-      createControlFetches({
-        key: installationKey,
-        directory: parts.resolve(Token.directory),
-      })
+      createControlFetches({ key, directory: parts.resolve(Token.directory) })
     ),
   });
   parts.register(Token.controlClient, {
@@ -82,12 +105,6 @@
       createRulesClient(parts.resolve(Token.fetches))
     ),
   });
-  parts.register(Token.relay, { useFactory: instanceCachingFactory(relay) });
-  parts.register(Token.keeper, { useFactory: instanceCachingFactory(keeper) });
-  parts.register(Token.gossiper, {
-    useFactory: instanceCachingFactory(gossiper),
-  });
-  return parts;
 }
 
 function relay(parts: DependencyContainer) {
