--- a/bench/membership/installation.ts
+++ b/bench/membership/installation.ts
@@ -3,13 +3,9 @@
 import type { Entry } from "../../src/membership/entry.ts";
 import { merge } from "../../src/membership/merge.ts";
 import { peersOf } from "../../src/membership/peers_of.ts";
+import { createEntry } from "../capacity/create_entry.ts";
 import { LayeredMap } from "./layered_map.ts";
 
-const DATA_CENTRES = 10;
-const SERVICES = 1_300;
-/** A wall clock at the start, for realistic sizes of messages. */
-const STARTED_MS = 1_764_841_328_000;
-
 type Installation = {
   all: Directory[];
   /** The position of each daemon by its address. */
@@ -18,27 +14,12 @@
   peers: Map<string, string[]>;
 };
 
-/** Returns an entry as a daemon of the installation writes it. */
-function entryOf(index: number): Entry {
-  return {
-    address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}:7001`,
-    dataCentre: `data-centre-${index % DATA_CENTRES}`,
-    incarnation: STARTED_MS + index * 997,
-    sequence: 3,
-    state: "up",
-    instance: (index * 0x9e3779b97f4a7).toString(16).padStart(16, "0")
-      .slice(0, 16),
-    server: {
-      service: `service-${index % SERVICES}`,
-      slots: 110,
-      warmupMs: 0,
-    },
-  };
-}
-
 /** Creates daemons that all know each other and have no news. */
 export function createInstallation(size: number): Installation {
-  const entries = Array.from({ length: size }, (_, index) => entryOf(index));
+  const entries = Array.from(
+    { length: size },
+    (_, index) => createEntry(index),
+  );
   const observer = createDirectory(
     { address: "observer:1", dataCentre: "data-centre-0", instance: "o" },
     0,
--- a/bench/rules_slopes.ts
+++ b/bench/rules_slopes.ts
@@ -1,22 +1,20 @@
 // Measures what rules cost one daemon, against the number of services:
 // node --expose-gc --import=tsx bench/rules_slopes.ts
-import type { KeyObject } from "node:crypto";
 import process from "node:process";
-import { generateKeys, parsePrivateKey, signSection } from "../src/library.ts";
-import { configuration } from "../src/rules/configuration.ts";
 import { applyChanges } from "../src/rules/apply_changes.ts";
 import { applySnapshot } from "../src/rules/apply_snapshot.ts";
 import { Change } from "../src/rules/change.ts";
-import { createChange } from "../src/rules/create_change.ts";
 import { createRules } from "../src/rules/create_rules.ts";
 import { notifyHead } from "../src/rules/notify_head.ts";
 import type { Rules } from "../src/rules/rules.ts";
 import { reportRules } from "../src/rules/report_rules.ts";
-import type { Section } from "../src/rules/section.ts";
 import { Snapshot } from "../src/rules/snapshot.ts";
 import { takeSnapshot } from "../src/rules/take_snapshot.ts";
-
-type Department = { name: string; publicKey: string; privateKey: KeyObject };
+import { applySection } from "./rules/apply_section.ts";
+import { createDepartments } from "./rules/create_departments.ts";
+import { createSection } from "./rules/create_section.ts";
+import type { Department } from "./rules/department.ts";
+import { departmentKeys } from "./rules/department_keys.ts";
 
 const DEPARTMENTS = 100;
 const SERVICES = [100, 400, 700, 1_000, 1_300];
@@ -25,43 +23,6 @@
 const CHANGES_PER_DAY = 4_000;
 const PUSH_PEERS = 3;
 
-function createDepartments(): Department[] {
-  return Array.from({ length: DEPARTMENTS }, (_, index) => {
-    const pair = generateKeys();
-    const key = parsePrivateKey(pair.privateKey);
-    if (!key.ok) throw new Error("Generated key does not parse");
-    const name = `department-${index}`;
-    return { name, publicKey: pair.publicKey, privateKey: key.value };
-  });
-}
-
-function createSection(
-  { name, privateKey }: Department,
-  { version, services }: { version: number; services: number },
-): Section {
-  let builder = configuration(name);
-  for (let index = 0; index < services; index++) {
-    builder = builder.service(`${name}-service-${index}`, (service) =>
-      service
-        .request("reserve", { importance: "critical", deadlineMs: 2_000 })
-        .request("deposit", { importance: "critical", deadlineMs: 3_000 })
-        .request("stock", { method: "GET", path: "/stock/*", retries: 2 })
-        .request("manifest", { method: "GET", deadlineMs: 1_000 + version }));
-  }
-  const terms = builder.build();
-  if (!terms.ok) throw new Error(JSON.stringify(terms.issues));
-  const section = { version, terms: terms.value };
-  return signSection(section, { department: name, privateKey });
-}
-
-function write(rules: Rules, section: Section): Change {
-  const id = `change-${rules.record.sequence + 1}`;
-  const change = createChange(rules, { section, id });
-  if (!change.ok) throw new Error(JSON.stringify(change.issues));
-  applyChanges(rules, [change.value], 0);
-  return change.value;
-}
-
 function cpuMs(work: () => void): number {
   const before = process.cpuUsage();
   work();
@@ -75,18 +36,15 @@
   return process.memoryUsage().heapUsed;
 }
 
-function departmentKeys(departments: Department[]): Record<string, string> {
-  return Object.fromEntries(
-    departments.map(({ name, publicKey }) => [name, publicKey]),
-  );
-}
-
 function measure(departments: Department[], services: number) {
   const keys = { departmentKeys: departmentKeys(departments) };
   const each = services / DEPARTMENTS;
   const writer = createRules(keys);
   for (const department of departments) {
-    write(writer, createSection(department, { version: 1, services: each }));
+    applySection(
+      writer,
+      createSection(department, { version: 1, services: each }),
+    );
   }
   const wire = JSON.stringify(takeSnapshot(writer));
   const daemon = createRules(keys);
@@ -138,11 +96,11 @@
     const department = departments[index % DEPARTMENTS] as Department;
     const version = 2 + Math.floor(index / DEPARTMENTS);
     const section = createSection(department, { version, services });
-    return JSON.stringify(write(writer, section));
+    return JSON.stringify(applySection(writer, section));
   });
 }
 
-const departments = createDepartments();
+const departments = createDepartments(DEPARTMENTS);
 // The first run only warms up the compiler.
 measure(departments, SERVICES[0] ?? DEPARTMENTS);
 console.table(SERVICES.map((services) => measure(departments, services)));
