--- /dev/null
+++ b/test/support/compare.ts
@@ -0,0 +1,26 @@
+import type { Deployment } from "../../deployments/deployment.ts";
+import type { Fleet } from "../../fleet/fleet.ts";
+import { withFleet } from "./with_fleet.ts";
+
+const PRODUCT = ["dist/nutmegmoor.cjs"];
+const NAIVE = ["--import=tsx", "naive/main.ts"];
+
+/**
+ * Runs the same body on a fleet of the product and on one of the naive version,
+ * with addresses of `base` and the number after it. Returns once all processes
+ * of both have ended.
+ */
+export async function compare<Value>(
+  { deployment, base }: { deployment: Deployment; base: number },
+  body: (fleet: Fleet) => Promise<Value>,
+): Promise<{ product: Value; naive: Value }> {
+  const results = await Promise.allSettled([
+    withFleet({ deployment, base, program: PRODUCT }, body),
+    withFleet({ deployment, base: base + 1, program: NAIVE }, body),
+  ]);
+  const [product, naive] = results.map((result) => {
+    if (result.status === "rejected") throw result.reason;
+    return result.value;
+  });
+  return { product: product!, naive: naive! };
+}
