--- /dev/null
+++ b/test/in_effect.ts
@@ -0,0 +1,21 @@
+import type { Member } from "../fleet/member.ts";
+import { ask } from "./ask.ts";
+import { until } from "./until.ts";
+
+type Report = { head: { sequence: number; changeId: string } };
+
+/** Waits until a change is in effect on daemons; returns their change ids. */
+export async function inEffect(
+  daemons: Member[],
+  sequence: number,
+): Promise<string[]> {
+  const ids = new Set<string>();
+  for (const daemon of daemons) {
+    await until(`change ${sequence} on ${daemon.name}`, async () => {
+      const { head } = await ask<Report>(daemon, "rules");
+      if (head.sequence === sequence) ids.add(head.changeId);
+      return head.sequence === sequence;
+    });
+  }
+  return [...ids];
+}
