--- /dev/null
+++ b/test/partition_test.ts
@@ -0,0 +1,71 @@
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import test from "ava";
+import type { Member } from "../fleet/member.ts";
+import { ask } from "./ask.ts";
+import { inEffect } from "./in_effect.ts";
+import { setFaults } from "./set_faults.ts";
+import { small } from "./small.ts";
+import { startAnew } from "./start_anew.ts";
+import { startRequests } from "./start_requests.ts";
+import { submit } from "./submit.ts";
+import { until } from "./until.ts";
+import { withFleet } from "./with_fleet.ts";
+
+type Status = { unreachableDataCentres: string[]; members: number };
+
+async function quick(daemon: Member): Promise<string[]> {
+  const request = { method: "GET", path: "/front/quick", count: 10 };
+  const results = await (await startRequests(daemon, request))();
+  return [...new Set(results.map(({ result }) => result))];
+}
+
+const BASE = 109;
+const PLATFORM = `127.${BASE}.0.`;
+const EAST = `127.${BASE}.1.`;
+const WEST = `127.${BASE}.2.`;
+
+test.serial("data centre that is cut off serves, admits and catches up", async (t) => {
+  const options = { deployment: small, base: BASE, switchable: true };
+  await withFleet(options, async (fleet) => {
+    const daemons = fleet.members.filter(({ kind }) => kind === "daemon");
+    const east = daemons.filter(({ dataCentre }) => dataCentre === "east");
+    const west = daemons.filter(({ dataCentre }) => dataCentre === "west");
+    const cutOff = { hosts: [PLATFORM, EAST] };
+    const sees = (daemon: Member, lost: string[], members: number) =>
+      until(`view of ${daemon.name}`, async () => {
+        const status = await ask<Status>(daemon, "status");
+        return status.unreachableDataCentres.join() === lost.join() &&
+          status.members === members;
+      });
+    for (const daemon of east) await setFaults(daemon, { hosts: [WEST] });
+    for (const daemon of west) await setFaults(daemon, cutOff);
+    for (const daemon of east) await sees(daemon, ["west"], 4);
+    for (const daemon of west) await sees(daemon, ["east"], 4);
+
+    const change = { version: 2, mark: 2, changeId: "while-cut-off" };
+    t.like(await submit(fleet, change), { kind: "accepted", sequence: 2 });
+    await inEffect(east, 2);
+    for (const daemon of daemons) t.deepEqual(await quick(daemon), ["good"]);
+
+    const vm = { host: `${WEST}9`, service: "none", dataCentre: "west" };
+    const settings = join(fleet.directory, `${vm.host}.ini`);
+    writeFileSync(`${settings}.faults`, JSON.stringify(cutOff));
+    const admitted = await startAnew(fleet, vm);
+    await inEffect([admitted], 1);
+    await until(
+      "members of the new daemon",
+      async () => (await ask<Status>(admitted, "status")).members >= 3,
+    );
+    await until(
+      "a server for the new daemon",
+      async () => (await quick(admitted)).join() === "good",
+    );
+    await inEffect(west, 1);
+
+    for (const daemon of [...daemons, admitted]) await setFaults(daemon, {});
+    for (const daemon of [...daemons, admitted]) await sees(daemon, [], 5);
+    t.deepEqual(await inEffect([...daemons, admitted], 2), ["while-cut-off"]);
+    for (const daemon of daemons) t.deepEqual(await quick(daemon), ["good"]);
+  });
+});
