--- a/src/daemon/open_listeners.ts
+++ b/src/daemon/open_listeners.ts
@@ -16,6 +16,8 @@
 import { Token } from "./token.ts";
 
 const KIB = 1024;
+/** Context headers come on top of those that passed the ingress listener. */
+const CONTEXT_BYTES = 4 * KIB;
 const RESERVED = "/-/";
 const CONTROL = "/-/rpc/";
 const TOKENS = "/-/tokens/";
@@ -40,7 +42,11 @@
       if (isUnder(CONTROL, request.url)) return void control(request, response);
       if (isUnder(RESERVED, request.url)) return peer(request, response);
       handlePeer(relay, request, response);
-    }, { host, port: daemon.peerPort, maxHeaderSize }),
+    }, {
+      host,
+      port: daemon.peerPort,
+      maxHeaderSize: maxHeaderSize + CONTEXT_BYTES,
+    }),
     listen((request, response) => {
       if (isUnder(RESERVED, request.url)) return ingress(request, response);
       handleIngress(relay, request, response);
--- a/src/daemon/start_timers.ts
+++ b/src/daemon/start_timers.ts
@@ -6,6 +6,7 @@
 import { checkStalls } from "../relay/check_stalls.ts";
 import { expireOpen } from "../relay/expire_open.ts";
 import { startTickets } from "../relay/start_tickets.ts";
+import { sweepPools } from "../relay/sweep_pools.ts";
 import { useServer } from "../relay/use_server.ts";
 import { sweepResends } from "../retries/sweep_resends.ts";
 import { departmentWeights } from "../rules/department_weights.ts";
@@ -17,6 +18,7 @@
 const ADMISSION_TICK_MS = 50;
 const STALL_CHECK_MS = 100;
 const SWEEP_MS = 1_000;
+const POOL_SWEEP_MS = 10_000;
 const GOSSIP_MS = 1_000;
 const RULES_TICK_MS = 250;
 const BOOTSTRAP_MS = 60_000;
@@ -39,6 +41,9 @@
     }, ADMISSION_TICK_MS),
     setInterval(() => checkStalls(relay, clock()), STALL_CHECK_MS),
     setInterval(() => sweepResends(relay.resends, clock()), SWEEP_MS),
+    setInterval(() => {
+      sweepPools(relay, (address) => directory.members.has(address));
+    }, POOL_SWEEP_MS),
     setInterval(() => {
       sweepObservations(relay.routing, clock());
       sweepShedding(relay.shedding, clock());
--- /dev/null
+++ b/src/relay/sweep_pools.ts
@@ -0,0 +1,17 @@
+import type { Relay } from "./relay.ts";
+
+/**
+ * Closes the connections to daemons that the directory no longer lists; a
+ * fleet that replaces VMs every day would otherwise collect them.
+ */
+export function sweepPools(
+  relay: Relay,
+  isMember: (address: string) => boolean,
+): void {
+  for (const [address, pool] of relay.peerPools) {
+    const { running, pending } = pool.stats;
+    if (isMember(address) || running > 0 || pending > 0) continue;
+    relay.peerPools.delete(address);
+    pool.close();
+  }
+}
