Prefer the own server where it is about as idle as another

Cause: an ingress daemon whose own server serves the request relayed it to any other daemon of the data centre, at the price of a hop. Change: choose() takes the own server while its cost is at most 0.1 above the better of two random choices and below the spill-over bound.

--- a/src/routing/choose.ts
+++ b/src/routing/choose.ts
@@ -1,10 +1,12 @@
 import type { Random } from "../core/random.ts";
 import type { Candidate } from "./candidate.ts";
+import { cost } from "./cost.ts";
 import type { Member } from "./member.ts";
 import { pick } from "./pick.ts";
 import type { Plan } from "./plan.ts";
 import { planFor } from "./plan_for.ts";
 import type { Routing } from "./routing.ts";
+import { usable } from "./usable.ts";
 
 /** One choice to make. */
 type Query = {
@@ -20,6 +22,8 @@
   | { kind: "chosen"; candidate: Candidate; reason: string; considered: number }
   | { kind: "none"; reason: string };
 
+/** Difference in cost that is worth a hop to another daemon. */
+const HOP_COST = 0.1;
 /** Cost at which the own data centre starts to spill over. */
 const SPILL_FROM = 0.7;
 /** Cost at which it spills over whatever another data centre takes more easily. */
@@ -27,7 +31,8 @@
 
 /**
  * Chooses a daemon for an attempt: two random choices in the own data centre,
- * the less loaded wins; another data centre takes a growing share as the own
+ * the less loaded wins, unless the own server is about as idle and saves the
+ * hop; another data centre takes a growing share as the own
  * one fills. An ejected daemon whose time is over gets a single probe.
  */
 export function choose(
@@ -43,6 +48,11 @@
   const probe = dueProbe(plan, exclude, now);
   if (probe !== null) return chosen(probe, "probe", plan.members.length);
   const near = pick({ pool: plan.own, exclude }, now, random);
+  const { self } = plan;
+  if (self !== null && usable(self, exclude)) {
+    const limit = Math.min(SPILL_FROM, (near?.cost ?? Infinity) + HOP_COST);
+    if (cost(self, now) <= limit) return chosen(self, "own-server", 1);
+  }
   if (near !== null && !maySpill(near.cost, random)) {
     return chosen(near.member, "own-data-centre", plan.own.length);
   }
--- a/src/routing/pick.ts
+++ b/src/routing/pick.ts
@@ -1,6 +1,7 @@
 import type { Random } from "../core/random.ts";
 import { cost } from "./cost.ts";
 import type { Member } from "./member.ts";
+import { usable } from "./usable.ts";
 import { ramp } from "./ramp.ts";
 
 /** A pool of members and those that must not be chosen. */
@@ -55,9 +56,3 @@
   }
   return null;
 }
-
-function usable(member: Member, exclude: ReadonlySet<string>): boolean {
-  const { observation, candidate } = member;
-  return observation.ejectedUntil === 0 && observation.leaving === null &&
-    !exclude.has(candidate.address);
-}
--- a/src/routing/plan.ts
+++ b/src/routing/plan.ts
@@ -7,6 +7,8 @@
   source: readonly Candidate[];
   /** The subset that gets connections. */
   members: Member[];
+  /** The daemon itself, where its own server is a candidate. */
+  self: Member | null;
   own: Member[];
   others: Member[];
   ejected: Set<Member>;
--- a/src/routing/plan_for.ts
+++ b/src/routing/plan_for.ts
@@ -45,6 +45,7 @@
     candidate.dataCentre === routing.dataCentre;
   return {
     source: candidates,
+    self: selfOf(routing, service, candidates),
     members,
     own: members.filter(near),
     others: members.filter((member) => !near(member)),
@@ -53,6 +54,21 @@
   };
 }
 
+/** The connection subset may leave the daemon itself out. */
+function selfOf(
+  routing: Routing,
+  service: string,
+  candidates: readonly Candidate[],
+): Member | null {
+  const candidate = candidates.find(({ address }) =>
+    address === routing.address
+  );
+  if (candidate === undefined) return null;
+  const observation = observe(routing, candidate.address);
+  observation.service = service;
+  return { candidate, observation };
+}
+
 /** Keeps the bound on ejections when candidates went away. */
 function stillEjected(members: Member[]): Set<Member> {
   const ejected = members
--- a/src/routing/routing_test.ts
+++ b/src/routing/routing_test.ts
@@ -177,3 +177,11 @@
   sweepObservations(routing, START + 300_000);
   t.is(routing.observations.size, 0);
 });
+
+test("idle own server costs a hop, or a busy one is overloaded", (t) => {
+  const routing = createRouting("suva", "self");
+  const candidates = [candidate("self"), candidate("a"), candidate("b")];
+  t.is(pickAt(routing, candidates).reason, "own-server");
+  for (let open = 0; open < 2; open++) begin(routing, "self", START);
+  t.not(pickAt(routing, candidates).address, "self");
+});
--- /dev/null
+++ b/src/routing/usable.ts
@@ -0,0 +1,10 @@
+import type { Member } from "./member.ts";
+
+/** Returns whether a member may be chosen at all. */
+export function usable(
+  { observation, candidate }: Member,
+  exclude: ReadonlySet<string>,
+): boolean {
+  return observation.ejectedUntil === 0 && observation.leaving === null &&
+    !exclude.has(candidate.address);
+}
