Prove that a surge of views costs no order

Cause: invariant 2 had no test on separate processes.

Change: callers keep 120 views and 6 orders open at once against servers of 8 slots that refuse more than 16 requests, until so many orders ended; the verdict does not depend on the speed of the machine.

--- /dev/null
+++ b/test/shedding_test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import type { Sample } from "../fleet/sample.ts";
+import { compare } from "./support/compare.ts";
+import { fillCallers } from "./support/fill_callers.ts";
+import { openIngress } from "./support/open_ingress.ts";
+import { orders } from "./support/orders.ts";
+
+const SLOTS = 8;
+const ORDERS = 100;
+/** Fewer than the slots of all servers, so that orders alone fit. */
+const ORDER_CALLERS = 6;
+const VIEW_CALLERS = 120;
+/** Share of views that get through, from which on orders must all do. */
+const RELEVANT = 0.02;
+const deployment = orders({
+  dataCentres: ["one", "two"],
+  slots: SLOTS,
+  workMs: 20,
+  connections: 2 * SLOTS,
+});
+
+type Results = Pick<Sample, "result" | "reason">[];
+
+function tally(results: Results): { all: number; good: number; lost: number } {
+  const good = results.filter(({ result }) => result === "good").length;
+  const all = results.length;
+  return { all, good, lost: all - good };
+}
+
+test.serial("a surge of views costs no order while views get through", async (t) => {
+  const options = { deployment, base: 89 };
+  const { product, naive } = await compare(options, async (fleet) => {
+    const pools = openIngress(fleet);
+    let left = ORDERS;
+    try {
+      const views = fillCallers({
+        pools,
+        kind: "view",
+        callers: VIEW_CALLERS,
+        more: () => left > 0,
+      });
+      const placed = await fillCallers({
+        pools,
+        kind: "order",
+        callers: ORDER_CALLERS,
+        more: () => (left -= 1) >= 0,
+      });
+      return { orders: tally(placed), views: tally(await views) };
+    } finally {
+      await Promise.all(pools.map((pool) => pool.destroy()));
+    }
+  });
+  t.log(JSON.stringify({ product, naive }));
+  // More arrives than can be served, in both versions.
+  t.true(product.views.lost > 0);
+  t.true(naive.views.lost > 0 && naive.orders.lost > 0);
+  const admitted = naive.views.good / naive.views.all;
+  t.true(admitted > RELEVANT);
+  t.is(product.orders.lost, 0);
+  t.true(product.views.good > 0);
+});
--- /dev/null
+++ b/test/support/fill_callers.ts
@@ -0,0 +1,48 @@
+import type { Pool } from "undici";
+import type { Sample } from "../../fleet/sample.ts";
+import { sendRequest } from "../../fleet/send_request.ts";
+import { takeToken } from "../../fleet/take_token.ts";
+
+/** Callers that each send one request after the other, without a pause. */
+type Callers = {
+  pools: Pool[];
+  kind: "order" | "view";
+  callers: number;
+  /** Returns whether a caller goes on, asked before each request. */
+  more: () => boolean;
+};
+
+type Result = Pick<Sample, "result" | "reason">;
+
+/** Keeps so many requests open at once; returns what became of each. */
+export async function fillCallers(
+  { pools, kind, callers, more }: Callers,
+): Promise<Result[]> {
+  const results: Result[] = [];
+  const call = async (caller: number) => {
+    const pool = pools[caller % pools.length]!;
+    for (let number = 0; more(); number++) {
+      const key = `${kind}-${caller}-${number}`;
+      results.push(await sendOne(pool, kind, key));
+    }
+  };
+  await Promise.all(Array.from({ length: callers }, (_, each) => call(each)));
+  return results;
+}
+
+async function sendOne(
+  pool: Pool,
+  kind: Callers["kind"],
+  key: string,
+): Promise<Result> {
+  const timeoutMs = 30_000;
+  if (kind === "view") {
+    const path = "/front/view/page";
+    return sendRequest(pool, { method: "GET", path, key, timeoutMs });
+  }
+  const path = "/front/order";
+  const token = await takeToken(pool, path, timeoutMs);
+  const headers: Record<string, string> = {};
+  if (token !== null) headers["nutmegmoor-token"] = token;
+  return sendRequest(pool, { method: "POST", path, key, headers, timeoutMs });
+}
