--- a/fleet/run_load.ts
+++ b/fleet/run_load.ts
@@ -70,6 +70,7 @@
   const key = `${load.prefix}-${number}`;
   const began = performance.now();
   let sends = 0;
+  let first: string | null = null;
   let last: Pick<Sample, "result" | "reason"> = FAILED;
   let token: string | null = null;
   while (sends <= load.resends) {
@@ -85,6 +86,7 @@
     const { method, path } = kind;
     const { timeoutMs } = load;
     last = await sendRequest(pool, { method, path, key, headers, timeoutMs });
+    first ??= `${last.result} ${last.reason}`;
     if (last.result === "good") break;
   }
   return {
@@ -94,6 +96,7 @@
     at,
     latencyMs: performance.now() - began,
     sends,
+    first: first ?? "",
     ...last,
   };
 }
--- a/fleet/sample.ts
+++ b/fleet/sample.ts
@@ -8,6 +8,8 @@
   latencyMs: number;
   sends: number;
   result: "good" | "not-run" | "unknown" | "failed" | "wrong";
+  /** Result and reason of the first send. */
+  first: string;
   /** Reason given with a result other than `good`. */
   reason: string;
 };
