--- a/src/admission/adapt_level.ts
+++ b/src/admission/adapt_level.ts
@@ -14,11 +14,15 @@
 /** Highest priority: the level never rejects everything. */
 const HIGHEST = RANKS * COHORTS - 1;
 
-/** Sets the admission level from queueing delay and recent arrivals. */
+/**
+ * Sets the admission level from queueing delay and recent arrivals. It rises at
+ * most once in a service time, because sources learn of it from responses:
+ * faster steps made all of them move to the server that had not risen yet.
+ */
 export function adaptLevel(admission: Admission, now: number): void {
-  const { demand, limiter, queue } = admission;
-  const delayed = queue.size > DELAY_SHARE * admission.limit;
-  const overloaded = delayed || demand.overflow > 0;
+  const { demand, limiter } = admission;
+  const delayed = delayedRank(admission);
+  const overloaded = delayed >= 0 || demand.overflow > 0;
   // Little's law: the rate that the limit sustains.
   const capacity = limiter.serviceMs === 0
     ? Infinity
@@ -27,17 +31,40 @@
   const spare = Math.max(0, capacity * DRAIN - demand.modestRate);
   const fit = fitLevel(demand.rates, spare);
   if (!overloaded) admission.level = Math.min(admission.level, fit);
-  else if (fit > admission.level) raise(admission, fit);
-  else if (delayed && admission.level > fit) raise(admission, extra(admission));
+  else if (now - demand.steppedAt >= limiter.serviceMs) {
+    const grows = admission.queue.size >= demand.steppedSize;
+    demand.steppedAt = now;
+    demand.steppedSize = admission.queue.size;
+    if (fit > admission.level) raise(admission, fit, delayed);
+    else if (delayed >= 0 && grows) raise(admission, extra(admission), delayed);
+  }
   demand.overflow = 0;
   demand.tickedLevel = admission.level;
 }
 
-/** A class is shed only after a tick at which no lower class was admitted. */
-function raise(admission: Admission, wanted: number): void {
+/**
+ * Returns the highest class that is delayed, or -1. The queue starts important
+ * requests first, so only those at or above a class can delay it.
+ */
+function delayedRank({ queue, limit }: Admission): number {
+  let size = 0;
+  for (let rank = RANKS - 1; rank >= 0; rank--) {
+    size += queue.bands[rank]!.size;
+    if (size > DELAY_SHARE * limit) return rank;
+  }
+  return -1;
+}
+
+/**
+ * A class is shed only while it is delayed itself, and after a tick at which no
+ * lower class was admitted.
+ */
+function raise(admission: Admission, wanted: number, delayed: number): void {
   const { level, demand } = admission;
   const boundary = (rankOf(demand.tickedLevel) + 1) * COHORTS;
-  admission.level = Math.min(wanted, Math.max(level, boundary), HIGHEST);
+  const ceiling = (delayed + 1) * COHORTS;
+  const most = Math.min(Math.max(level, boundary), HIGHEST);
+  admission.level = Math.max(level, Math.min(wanted, most, ceiling));
 }
 
 function extra(admission: Admission): number {
--- a/src/admission/create_admission.ts
+++ b/src/admission/create_admission.ts
@@ -43,6 +43,8 @@
     overflow: 0,
     shares: new Map(),
     tickedAt: -Infinity,
+    steppedAt: -Infinity,
+    steppedSize: 0,
     tickedLevel: 0,
   };
 }
--- a/src/admission/demand.ts
+++ b/src/admission/demand.ts
@@ -15,6 +15,10 @@
   /** By department. */
   shares: Map<string, Share>;
   tickedAt: number;
+  /** When the level was last considered for a further step, in ms. */
+  steppedAt: number;
+  /** Size of the queue at that time. */
+  steppedSize: number;
   /** Level after the latest tick. */
   tickedLevel: number;
 };
--- a/src/relay/ingress_listener.ts
+++ b/src/relay/ingress_listener.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Context } from "../context/context.ts";
 import { Header } from "../context/header.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
 import { judgeSend } from "../retries/judge_send.ts";
@@ -28,7 +29,7 @@
   const context = root.value;
   const identity = identify(relay, { request, wanted, context });
   if (!identity.ok) return reject(identity.outcome, identity.detail);
-  const resent = isResend(relay, request);
+  const resent = isResend(relay, request, context);
   if (resent === "denied") {
     // An earlier send of the same request may have run.
     return reject({ kind: "unknown", reason: "resend-limit" });
@@ -54,11 +55,14 @@
 function isResend(
   relay: Relay,
   request: IncomingMessage,
+  context: Context,
 ): "no" | "yes" | "denied" {
   const requestId = request.headers[Header.request];
   if (typeof requestId !== "string") return "no";
-  const department = request.headers[Header.department] ?? "";
-  const caller = `${request.socket.remoteAddress} ${department}`;
+  const { department, importance } = context;
+  // Resent stock checks must not use up what a booking may need.
+  const address = request.socket.remoteAddress;
+  const caller = `${address} ${department} ${importance}`;
   const seen = judgeSend(relay.resends, { caller, requestId }, relay.clock());
   return SEEN[seen];
 }
