Document what the library for operators returns, with examples

Cause: most exports of src/library.ts had neither errors nor an example. Conclusion: no change in behaviour.

--- a/src/retries/judge_send.ts
+++ b/src/retries/judge_send.ts
@@ -10,8 +10,8 @@
 
 /**
  * Judges a send: a first one always goes on, a resend while the caller's bucket
- * holds a token. Ids are kept as 32-bit hashes; a
- * first send that collides with another id of its caller counts as a resend.
+ * holds a token. Ids are kept as 32-bit hashes; a first send that collides with
+ * another id of its caller counts as a resend.
  */
 export function judgeSend(
   resends: Resends,
--- a/src/rules/agreement.ts
+++ b/src/rules/agreement.ts
@@ -7,7 +7,14 @@
 
 /**
  * Starts an agreement between departments. It takes effect with the signatures
- * of all parties; other parties make it another agreement.
+ * of all parties; other parties make it another agreement. Weights are whole
+ * numbers without a unit; a mistake is an issue of `build` and `print`.
+ *
+ * ```ts
+ * agreement("fair-shares", ["collective", "harvest-loaf"])
+ *   .shares("*", { "collective": 1, "harvest-loaf": 1 })
+ *   .print();
+ * ```
  */
 export function agreement<Party extends string>(
   name: string,
--- a/src/rules/configuration.ts
+++ b/src/rules/configuration.ts
@@ -7,7 +7,8 @@
 import type { ServiceRule } from "./service_rule.ts";
 
 /**
- * Starts the configuration of a department.
+ * Starts the configuration of a department. Deadlines are in ms; a mistake is an
+ * issue of `build` and `print`, which list all at once.
  *
  * ```ts
  * configuration("collective")
--- a/src/rules/generate_keys.ts
+++ b/src/rules/generate_keys.ts
@@ -5,7 +5,14 @@
 
 const RAW_BYTES = 32;
 
-/** Generates an Ed25519 key pair for a department. */
+/**
+ * Generates an Ed25519 key pair for a department. The public key goes into the
+ * settings of every daemon.
+ *
+ * ```ts
+ * const { publicKey, privateKey } = generateKeys();
+ * ```
+ */
 export function generateKeys(): KeyPair {
   const pair = generateKeyPairSync("ed25519");
   const publicDer = pair.publicKey.export({ format: "der", type: "spki" });
--- a/src/rules/parse_private_key.ts
+++ b/src/rules/parse_private_key.ts
@@ -8,7 +8,12 @@
 
 /**
  * Parses an Ed25519 private key: raw (32 bytes) or PKCS #8 in base64, or PKCS #8
- * in PEM as `nutmegmoor rules keygen` writes it.
+ * in PEM as `nutmegmoor rules keygen` writes it. Any other text is the issue
+ * `invalid-key`, which does not quote it.
+ *
+ * ```ts
+ * const key = parsePrivateKey(readFileSync("collective.pem", "utf8"));
+ * ```
  */
 export function parsePrivateKey(text: string): Result<KeyObject> {
   const bytes = Buffer.from(PEM.exec(text)?.[1] ?? text, "base64");
--- a/src/rules/parse_public_key.ts
+++ b/src/rules/parse_public_key.ts
@@ -5,7 +5,14 @@
 // DER header of an Ed25519 SubjectPublicKeyInfo (RFC 8410).
 const SPKI_HEADER = Buffer.from("302a300506032b6570032100", "hex");
 
-/** Parses an Ed25519 public key in base64: raw (32 bytes) or SPKI. */
+/**
+ * Parses an Ed25519 public key in base64: raw (32 bytes) or SPKI. Any other text
+ * is the issue `invalid-key`.
+ *
+ * ```ts
+ * const key = parsePublicKey(generateKeys().publicKey);
+ * ```
+ */
 export function parsePublicKey(text: string): Result<KeyObject> {
   const bytes = Buffer.from(text, "base64");
   const der = bytes.length === RAW_BYTES
--- a/src/rules/parse_terms.ts
+++ b/src/rules/parse_terms.ts
@@ -4,7 +4,15 @@
 import { parseJson } from "./parse_json.ts";
 import type { Terms } from "./terms.ts";
 
-/** Parses a printed configuration or agreement; reports every mistake at once. */
+/**
+ * Parses a printed configuration or agreement; reports every mistake at once, or
+ * `invalid-json` alone.
+ *
+ * ```ts
+ * const terms = parseTerms(readFileSync("collective.json", "utf8"));
+ * if (!terms.ok) console.error(terms.issues);
+ * ```
+ */
 export function parseTerms(text: string): Result<Terms> {
   const json = parseJson(z.unknown(), text);
   return json.ok ? checkTerms(json.value) : json;
--- a/src/rules/sign_section.ts
+++ b/src/rules/sign_section.ts
@@ -8,7 +8,15 @@
 
 /**
  * Returns the section with the signature of one more department. The parties of
- * an agreement sign one after another, in any order.
+ * an agreement sign one after another, in any order. The version is that of the
+ * section, from 1.
+ *
+ * ```ts
+ * const section = signSection({ version: 1, terms }, {
+ *   department: "collective",
+ *   privateKey,
+ * });
+ * ```
  */
 export function signSection(
   section: Pick<Section, "version" | "terms"> & Partial<Section>,
