Keep important classes open at a server that only waits for others

A level left over from a burst stayed in the critical class while the queue was short, because it fell by the rates of arrivals only. Change: delay counts from 1, 2 and 3 service times for the three classes; the level falls at once to the highest class that waits. Rejections by a peer echo the attempt id, so that they are not taken for another's response. Deadlines over 600,000 ms are rejected at the ingress. Pollers are ranked once a second, bootstrap is retried every 5 to 10 s. Ruled out: the concurrency limit (30 of 30 throughout) and the resend bucket (later sends only).

--- a/src/admission/adapt_level.ts
+++ b/src/admission/adapt_level.ts
@@ -5,8 +5,12 @@
 import { RANKS } from "./ranks.ts";
 import { updateDemand } from "./update_demand.ts";
 
-/** Queueing delay that counts as overload, as a share of the service time. */
-const DELAY_SHARE = 1;
+/**
+ * Queueing delay that counts as overload, in service times, by importance rank.
+ * Reports of load are a service time old, so that bursts of that size meet one
+ * server; important requests rather wait than be shed for one.
+ */
+const DELAYS = [1, 2, 3];
 /** Work admitted while overloaded, so that the queue shrinks. */
 const DRAIN = 0.95;
 /** Share shed in addition while the histogram finds too little to shed. */
@@ -30,6 +34,11 @@
   updateDemand(admission, { now, calm: !overloaded, capacity });
   const spare = Math.max(0, capacity * DRAIN - demand.modestRate);
   const fit = fitLevel(demand.rates, spare);
+  // A level left over from a burst must not reject a class that does not wait.
+  const ceiling = (Math.max(delayed, overloaded ? 0 : 1) + 1) * COHORTS;
+  if (demand.overflow === 0) {
+    admission.level = Math.min(admission.level, ceiling);
+  }
   if (!overloaded) admission.level = Math.min(admission.level, fit);
   else if (now - demand.steppedAt >= limiter.serviceMs) {
     const grows = admission.queue.size >= demand.steppedSize;
@@ -50,7 +59,7 @@
   let size = 0;
   for (let rank = RANKS - 1; rank >= 0; rank--) {
     size += queue.bands[rank]!.size;
-    if (size > DELAY_SHARE * limit) return rank;
+    if (size > DELAYS[rank]! * limit) return rank;
   }
   return -1;
 }
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -11,6 +11,8 @@
   limit: number;
   inFlight: number;
   queue: Queue;
+  /** Most requests that wait, whatever the slots, see `[limits] queue`. */
+  maxQueue: number;
   /** Evicted from the queue; handed out by the next `finish` or `tick`. */
   evicted: Ticket[];
   /** Requests below this priority are rejected. */
--- a/src/admission/create_admission.ts
+++ b/src/admission/create_admission.ts
@@ -6,12 +6,16 @@
 import { RANKS } from "./ranks.ts";
 
 /** Creates admission control for a backend server with so many slots. */
-export function createAdmission(slots: number): Admission {
+export function createAdmission(
+  slots: number,
+  { maxQueue = Infinity } = {},
+): Admission {
   return {
     slots,
     limit: slots,
     inFlight: 0,
     queue: createQueue(),
+    maxQueue,
     evicted: [],
     level: 0,
     limiter: createLimiter(slots),
--- a/src/admission/offer.ts
+++ b/src/admission/offer.ts
@@ -44,7 +44,9 @@
   const waitMs = (position(queue, ticket) + 1) * limiter.serviceMs /
     admission.limit;
   if (now + waitMs > ticket.deadlineAt) return DEADLINE;
-  if (queue.size >= admission.slots * QUEUE_PER_SLOT) {
+  if (
+    queue.size >= Math.min(admission.maxQueue, admission.slots * QUEUE_PER_SLOT)
+  ) {
     const lower = victim(queue, ticket);
     overflow(admission, lower ?? ticket);
     if (lower === undefined) return OVERLOAD;
--- a/src/daemon/create_relay.ts
+++ b/src/daemon/create_relay.ts
@@ -40,6 +40,7 @@
     departments: new Set(Object.keys(settings.departments)),
     limits: {
       requestBody: limits.requestBodyKib * KIB,
+      queue: limits.queue,
       connectionsPerPeer: limits.connectionsPerPeer,
     },
   };
--- a/src/daemon/start_timers.ts
+++ b/src/daemon/start_timers.ts
@@ -18,9 +18,10 @@
  * for a round, because they are pushed.
  */
 const GOSSIP_MS = 2_000;
-const RULES_TICK_MS = 250;
+/** Each tick ranks the daemons of the data centre to find the pollers. */
+const RULES_TICK_MS = 1_000;
 const BOOTSTRAP_MS = 60_000;
-const BOOTSTRAP_RETRY_MS = 2_000;
+const BOOTSTRAP_RETRY_MS = 5_000;
 
 /** Starts the periodic work of a daemon; returns what ends it. */
 export function startTimers(parts: DependencyContainer): () => void {
@@ -81,10 +82,12 @@
     Date.now(),
     parts.resolve(Token.clock)(),
   );
-  if (found === null) return BOOTSTRAP_RETRY_MS;
+  // Jitter spreads the reads of daemons that all wait for the store.
+  const retryMs = BOOTSTRAP_RETRY_MS * (1 + parts.resolve(Token.random)());
+  if (found === null) return retryMs;
   const { peers } = parts.resolve(Token.settings).daemon;
   parts.resolve(Token.seeds).addresses = [...new Set([...peers, ...found])];
-  return directory.members.size > 1 ? BOOTSTRAP_MS : BOOTSTRAP_RETRY_MS;
+  return directory.members.size > 1 ? BOOTSTRAP_MS : retryMs;
 }
 
 /** Runs work again and again, each time the returned ms after it has ended. */
--- a/src/relay/peer_listener.ts
+++ b/src/relay/peer_listener.ts
@@ -10,6 +10,8 @@
 import type { Relay } from "./relay.ts";
 import { serviceOf } from "./service_of.ts";
 
+const ID = /^[\w.:-]{1,128}$/;
+
 /** Handles an attempt that another daemon has sent. */
 export function handlePeer(
   relay: Relay,
@@ -21,7 +23,11 @@
   const service = serviceOf(path);
   const reject = (reason: "bad-request" | "too-large", detail?: string) => {
     const outcome: Outcome = { kind: "not-run", reason };
-    rejectRequest(relay, response, { side: "peer", outcome, detail });
+    // Without its id the sender could not tell that this is its response.
+    const given = request.headers[Header.attempt];
+    const attemptId = typeof given === "string" && ID.test(given) ? given : "";
+    const rejection = { side: "peer", outcome, detail, attemptId } as const;
+    rejectRequest(relay, response, rejection);
   };
   if (!context.ok) return reject("bad-request", context.issues[0]?.message);
   if (service === null) return reject("bad-request", "No service in the path");
--- a/src/relay/reject_request.ts
+++ b/src/relay/reject_request.ts
@@ -11,19 +11,21 @@
   outcome: Outcome;
   /** What is wrong with it; never a value that the sender gave. */
   detail?: string;
+  /** Attempt id to echo, where the sender gave a valid one. */
+  attemptId?: string;
 };
 
 /** Counts, logs and answers a request that is not forwarded. */
 export function rejectRequest(
   relay: Relay,
   response: ServerResponse,
-  { side, outcome, detail }: Rejection,
+  { side, outcome, detail, attemptId = "" }: Rejection,
 ): void {
   const reason = outcome.kind === "answered" ? "" : outcome.reason;
   count(relay.metrics, "rejected", { side, reason });
   relay.log("rejected", { side, outcome: outcome.kind, reason, detail });
   // What is left of the body is not read, so the connection ends with it.
   response.setHeader("connection", "close");
-  httpReply(response, { attemptId: "", feedback: side === "peer" })
+  httpReply(response, { attemptId, feedback: side === "peer" })
     .fail(outcome, noFeedback);
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -59,6 +59,8 @@
   limits: {
     /** Largest request body, in bytes. */
     requestBody: number;
+    /** Most requests that wait for the own backend server. */
+    queue: number;
     /** Connections to one other daemon. */
     connectionsPerPeer: number;
   };
--- a/src/relay/root_context.ts
+++ b/src/relay/root_context.ts
@@ -8,6 +8,8 @@
 const ID = /^[\w.:-]{1,64}$/;
 const NAME = /^[a-z][a-z0-9-]{0,63}$/;
 const TOKEN = /^[\w.:-]{1,256}$/;
+/** The same bound as between daemons, see `parseContext`. */
+const MAX_DEADLINE_MS = 600_000;
 const NO_DEPARTMENT = "none";
 
 /**
@@ -31,7 +33,9 @@
   if (token !== null && !matches(TOKEN, token)) {
     return { ok: false, header: Header.token };
   }
-  if (!matches(/^\d{1,6}$/, deadline)) {
+  const valid = matches(/^\d{1,6}$/, deadline) &&
+    Number(deadline) <= MAX_DEADLINE_MS;
+  if (!valid) {
     return { ok: false, header: Header.deadline };
   }
   return {
--- a/src/relay/send_attempt.ts
+++ b/src/relay/send_attempt.ts
@@ -35,7 +35,11 @@
   begin(relay.routing, address, relay.clock());
   const settle = (outcome: Outcome, feedback: Feedback) => {
     forwarding.abandon = null;
-    reclaim(call.account, { allocated, unspent: feedback.unspent });
+    // Nothing was sent, so nothing of the allocation can have been spent.
+    const unsent = outcome.kind === "not-run" &&
+      outcome.reason === "connect-failed";
+    const unspent = unsent ? allocated : feedback.unspent;
+    reclaim(call.account, { allocated, unspent });
     learnFrom(relay, call, { address, outcome, feedback });
   };
   forwarding.abandon = (outcome) => settle(outcome, noFeedback);
--- a/src/relay/use_server.ts
+++ b/src/relay/use_server.ts
@@ -34,6 +34,7 @@
     });
   }
   const { slots } = announcement;
-  if (relay.admission === null) relay.admission = createAdmission(slots);
+  const { queue: maxQueue } = relay.limits;
+  relay.admission ??= createAdmission(slots, { maxQueue });
   if (relay.admission.slots !== slots) setSlots(relay.admission, slots);
 }
--- a/src/security/create_control_fetch.ts
+++ b/src/security/create_control_fetch.ts
@@ -5,7 +5,7 @@
 import { HEADER } from "./header.ts";
 import { issueCredential } from "./issue_credential.ts";
 import { learnEpoch } from "./learn_epoch.ts";
-import { MAX_CONTROL_BYTES } from "./max_control_bytes.ts";
+import { MAX_RESPONSE_BYTES } from "./max_response_bytes.ts";
 import { signResponse } from "./sign_response.ts";
 import type { Signer } from "./signer.ts";
 
@@ -102,7 +102,7 @@
   let bytes = 0;
   for await (const chunk of response.body as AsyncIterable<Buffer>) {
     bytes += chunk.length;
-    if (bytes > MAX_CONTROL_BYTES) throw new Error("Response is oversized");
+    if (bytes > MAX_RESPONSE_BYTES) throw new Error("Response is oversized");
     chunks.push(chunk);
   }
   return {
