Give idle connections a second before they close; eject lossy daemons again

A drained daemon closed idle connections at once and broke 3 requests that were on their way (drain_test). An unknown outcome with a load report never counted against a daemon, so one whose server loses responses was not ejected; the recorded trace had no probe (replay_test). Rounds of 2 s kept a paused daemon in the directories for more than 60 s (members_test). Change: idle connections close after a second without a request; only a deadline that the other daemon reports itself is excused; gossip rounds take 1 s while there is news or a suspicion.

--- a/src/daemon/start_timers.ts
+++ b/src/daemon/start_timers.ts
@@ -2,6 +2,7 @@
 import { setWeights } from "../admission/set_weights.ts";
 import { sweepLedger } from "../execution/sweep_ledger.ts";
 import { keepBootstrap } from "../membership/keep_bootstrap.ts";
+import type { Directory } from "../membership/directory.ts";
 import { sweepPools } from "../relay/sweep_pools.ts";
 import { sweepResends } from "../retries/sweep_resends.ts";
 import { departmentWeights } from "../rules/department_weights.ts";
@@ -18,6 +19,8 @@
  * for a round, because they are pushed.
  */
 const GOSSIP_MS = 2_000;
+/** Rounds while there is news to spread or a suspicion to settle. */
+const URGENT_GOSSIP_MS = 1_000;
 /** Each tick ranks the daemons of the data centre to find the pollers. */
 const RULES_TICK_MS = 1_000;
 const BOOTSTRAP_MS = 60_000;
@@ -46,7 +49,7 @@
   ];
   // Jitter keeps daemons that started together from acting in step.
   const rounds = repeat(() =>
-    gossiper.round().then(() => GOSSIP_MS * (0.9 + 0.2 * random()))
+    gossiper.round().then(() => gossipMs(directory) * (0.9 + 0.2 * random()))
   );
   const pulse = startPulse(parts);
   const bootstrap = repeat(() => joinOnce(parts));
@@ -58,6 +61,10 @@
   };
 }
 
+function gossipMs({ news, suspects }: Directory): number {
+  return news.size + suspects.size > 0 ? URGENT_GOSSIP_MS : GOSSIP_MS;
+}
+
 /** Passes weights of departments on to admission control when rules change. */
 function weighDepartments(parts: DependencyContainer): () => void {
   const rules = parts.resolve(Token.rules);
--- a/src/daemon/track_connections.ts
+++ b/src/daemon/track_connections.ts
@@ -4,6 +4,12 @@
 /** A reader that takes nothing for this time has gone, in ms. */
 const STALLED_MS = 30_000;
 
+/**
+ * A request may be on its way on a connection that looks idle; closing it at
+ * once broke some of the callers that go on sending.
+ */
+const IDLE_GRACE_MS = 1_000;
+
 /** Follows the connections of a server, to close them without a loss. */
 export function trackConnections(server: Server) {
   const sockets = new Map<Socket, ServerResponse | null>();
@@ -32,10 +38,14 @@
     close() {
       closing = true;
       retire();
-      for (const [socket, response] of sockets) {
-        if (response === null) socket.destroySoon();
-        else boundStall(response);
+      for (const response of sockets.values()) {
+        if (response !== null) boundStall(response);
       }
+      setTimeout(() => {
+        for (const [socket, response] of sockets) {
+          if (response === null) socket.destroySoon();
+        }
+      }, IDLE_GRACE_MS);
     },
   };
 }
--- a/src/routing/verdict.ts
+++ b/src/routing/verdict.ts
@@ -22,9 +22,10 @@
 export function verdict({ outcome, load }: Ending): Verdict {
   if (outcome.kind === "answered") return "alive";
   if (outcome.kind === "unknown") {
-    // With a load report the daemon itself has answered: what was lost is
-    // behind it, such as a slow service further down.
-    const nothing = outcome.reason === "cancelled" || load !== null;
+    // With a load report the daemon itself has answered: the time was lost
+    // behind it, such as in a slow service further down.
+    const behind = outcome.reason === "deadline" && load !== null;
+    const nothing = outcome.reason === "cancelled" || behind;
     return nothing ? "nothing" : "failure";
   }
   if (FAILED.has(outcome.reason)) return "failure";
