Run the timeouts of the directory on a timer of their own

Cause: a paused daemon stayed in the directories (members_test: never within 60 s). A gossip round that waits for a silent partner takes over 3 s; the directory took that gap between its ticks for a pause of its own process and prolonged the suspicion each time. Ruled out: the probes themselves, logged as suspect in every round. Conclusion: a silent daemon is failed after its suspicion timeout again.

--- a/src/daemon/start_timers.ts
+++ b/src/daemon/start_timers.ts
@@ -2,6 +2,7 @@
 import { setWeights } from "../admission/set_weights.ts";
 import { sweepLedger } from "../execution/sweep_ledger.ts";
 import { keepBootstrap } from "../membership/keep_bootstrap.ts";
+import { tick } from "../membership/tick.ts";
 import type { Directory } from "../membership/directory.ts";
 import { sweepPools } from "../relay/sweep_pools.ts";
 import { sweepResends } from "../retries/sweep_resends.ts";
@@ -44,6 +45,9 @@
       sweepShedding(relay.shedding, clock());
     }, SWEEP_MS),
     setInterval(() => sweepLedger(relay.ledger, clock()), SWEEP_MS),
+    // A round that waits for a silent partner takes longer than the gap by
+    // which the directory recognizes a pause of this process.
+    setInterval(() => tick(directory, clock()), SWEEP_MS),
     setInterval(() => keeper.tick(), RULES_TICK_MS),
     setInterval(weighDepartments(parts), SWEEP_MS),
   ];
