--- a/src/membership/choose_partner.ts
+++ b/src/membership/choose_partner.ts
@@ -27,7 +27,9 @@
 
 /**
  * Chooses the partner of the next exchange, uniformly from the full directory
- * within the chosen kind; null if no other daemon is known.
+ * within the chosen kind; null if no other daemon is known. Aged partial views
+ * spread as fast but cost more bytes, and forget the other side of a partition
+ * that outlasts their ages, see `bench/partner_choice.ts`.
  */
 export function choosePartner(
   directory: Directory,
