--- a/bench/at_most_once.ts
+++ b/bench/at_most_once.ts
@@ -7,7 +7,7 @@
 import { claimKey } from "../src/execution/claim_key.ts";
 import { createLedger } from "../src/execution/create_ledger.ts";
 import { sweepLedger } from "../src/execution/sweep_ledger.ts";
-import { createTableService } from "../src/platform/create_table_service.ts";
+import { createTableService } from "../src/store/create_table_service.ts";
 import { quantiles } from "./quantiles.ts";
 import { runToken } from "./run_token.ts";
 import { startProcess } from "./start_process.ts";
--- a/fleet/publish_rules.ts
+++ b/fleet/publish_rules.ts
@@ -6,8 +6,8 @@
   parsePrivateKey,
   signSection,
 } from "../src/library.ts";
-import { createObjectStore } from "../src/platform/create_object_store.ts";
-import { createTableService } from "../src/platform/create_table_service.ts";
+import { createObjectStore } from "../src/store/create_object_store.ts";
+import { createTableService } from "../src/store/create_table_service.ts";
 import { submitChange } from "../src/rules/submit_change.ts";
 import { Ports } from "./ports.ts";
 
--- a/naive/rules_store.ts
+++ b/naive/rules_store.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "../src/platform/table_service.ts";
+import type { TableService } from "../src/store/table_service.ts";
 
 /** Writes rules to a plain row; the last writer wins. */
 export async function storeRules(
--- /dev/null
+++ b/scripts/absent_package.mjs
@@ -0,0 +1,16 @@
+// debug asks for this optional package; a single executable warns on standard
+// error of each module that it can't load.
+export const absentPackage = {
+  name: "absent-package",
+  setup(bundle) {
+    const namespace = "absent";
+    bundle.onResolve(
+      { filter: /^(supports-color|msgpackr-extract)$/ },
+      ({ path }) => ({ path, namespace }),
+    );
+    bundle.onLoad(
+      { filter: /.*/, namespace },
+      () => ({ contents: "module.exports = {};" }),
+    );
+  },
+};
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,23 +3,7 @@
 import { execFileSync } from "node:child_process";
 import { copyFileSync, mkdirSync, writeFileSync } from "node:fs";
 import process from "node:process";
-
-// debug asks for this optional package; a single executable warns on standard
-// error of each module that it can't load.
-const absentPackage = {
-  name: "absent-package",
-  setup(bundle) {
-    const namespace = "absent";
-    bundle.onResolve(
-      { filter: /^supports-color$/ },
-      ({ path }) => ({ path, namespace }),
-    );
-    bundle.onLoad(
-      { filter: /.*/, namespace },
-      () => ({ contents: "module.exports = {};" }),
-    );
-  },
-};
+import { absentPackage } from "./absent_package.mjs";
 
 mkdirSync("dist", { recursive: true });
 await build({
--- /dev/null
+++ b/src/backend/backend.ts
@@ -0,0 +1,32 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+import type { Announcement } from "./announcement.ts";
+import type { Departure } from "./departure.ts";
+import type { Registration } from "./registration.ts";
+
+/** The backend server beside this daemon, and the only way to it. */
+export type Backend = {
+  registration(): Registration | null;
+  /** Whether the server takes new work now. */
+  available(): boolean;
+  /** Running and waiting requests as a share of the limit. */
+  load(): number;
+  announce(announcement: Announcement): void;
+  depart(departure: Departure): void;
+  /** Applies a departure that was acknowledged before this process started. */
+  recall(departure: { id: string; startedAt: number }): void;
+  /**
+   * Runs a request; the outcome comes once, possibly before this returns. The
+   * returned function cancels it, after which no outcome comes.
+   */
+  serve(
+    request: CallRequest,
+    onOutcome: (outcome: CallOutcome, report: CallReport) => void,
+  ): () => void;
+  /** Ends what ran out of time, and closes connections idle for long. */
+  tick(): void;
+  /** Requests that run or wait. */
+  open(): number;
+  close(): void;
+};
--- /dev/null
+++ b/src/backend/create_backend.ts
@@ -0,0 +1,216 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import type { CallGraph } from "../costs/call_graph.ts";
+import { costsOf } from "../costs/costs_of.ts";
+import { noteRun } from "../costs/note_run.ts";
+import { noteSlotTime } from "../costs/note_slot_time.ts";
+import type { Backend } from "./backend.ts";
+import { createConnectionPool } from "./create_connection_pool.ts";
+import { createGate } from "./create_gate.ts";
+import { depart } from "./depart.ts";
+import { expireJobs } from "./expire_jobs.ts";
+import { finishJob } from "./finish_job.ts";
+import type { Job } from "./job.ts";
+import { loadOf } from "./load_of.ts";
+import { offerJob } from "./offer_job.ts";
+import { register } from "./register.ts";
+import type { Registration } from "./registration.ts";
+import type { ServerConnection } from "./server_connection.ts";
+import type { ServerProtocol } from "./server_protocol.ts";
+import { withdrawJob } from "./withdraw_job.ts";
+
+// Servers slow down when nearly full, so a few slots stay free.
+const LIMIT_SHARE = 0.95;
+// A server that has been silent for this many heartbeats has crashed.
+const MISSED_HEARTBEATS = 3;
+// Costs change slowly; this share of the outcomes carries them.
+const COST_REPORT_SHARE = 0.1;
+// A server stops at the deadline it was given; this is room for its answer.
+const OVERDUE_MS = 100;
+// Refused connections in a row after which the server is taken as gone.
+const REFUSED_CONNECTIONS = 3;
+
+type Run = {
+  request: CallRequest;
+  connection: ServerConnection;
+  cancelled: boolean;
+};
+
+/** Creates the gate to the backend server at `address`. */
+export function createBackend(
+  { address, heartbeatMs, protocol, graph, random, steadyTime, log, onChange }:
+    {
+      address: string;
+      heartbeatMs: number;
+      protocol: ServerProtocol;
+      graph: CallGraph;
+      random: Random;
+      steadyTime: () => number;
+      log: Logger;
+      /** The server has changed in what other daemons must know. */
+      onChange: () => void;
+    },
+): Backend {
+  let registration: Registration | null = null;
+  let refusedConnections = 0;
+  const gate = createGate(1);
+  const runs = new Set<Run>();
+  const pool = createConnectionPool({ address, protocol, steadyTime });
+
+  const alive = (now: number) =>
+    registration !== null &&
+    now - registration.heardAt < MISSED_HEARTBEATS * heartbeatMs &&
+    refusedConnections < REFUSED_CONNECTIONS;
+  const available = () =>
+    registration !== null && !registration.leaving && alive(steadyTime());
+  const report = (route: string): CallReport => ({
+    load: loadOf(gate),
+    costs: random() < COST_REPORT_SHARE ? costsOf(graph, route) : null,
+  });
+
+  const update = (next: Registration | null) => {
+    const before = registration;
+    registration = next;
+    if (next === null) return;
+    gate.limit = Math.max(1, Math.floor(next.slots * LIMIT_SHARE));
+    const changed = before?.id !== next.id ||
+      before.startedAt !== next.startedAt || before.leaving !== next.leaving ||
+      before.slots !== next.slots || isCold(before) !== isCold(next);
+    if (before?.startedAt !== next.startedAt) pool.clear();
+    if (next !== before) refusedConnections = 0;
+    if (!changed) return;
+    log("server-changed", {
+      server: next.id,
+      leaving: next.leaving,
+      departed: next.departed,
+      slots: next.slots,
+      sequence: next.sequence,
+    });
+    onChange();
+  };
+
+  function start(
+    request: CallRequest,
+    onOutcome: (outcome: CallOutcome, report: CallReport) => void,
+  ): Run {
+    const startedAt = steadyTime();
+    noteRun(graph, request.route);
+    const run: Run = { request, connection: pool.take(), cancelled: false };
+    runs.add(run);
+    run.connection.send(request, startedAt, (outcome) => {
+      runs.delete(run);
+      const now = steadyTime();
+      const answered = outcome.kind === "answered";
+      if (answered) {
+        refusedConnections = 0;
+        if (registration !== null) {
+          registration = { ...registration, heardAt: now };
+        }
+        noteSlotTime(graph, request.route, now - startedAt);
+      } else if (outcome.kind === "not-run") {
+        if (outcome.reason === "connect-failed") noteRefusedConnection();
+        if (outcome.reason === "other-server") noteOtherServer(request);
+      }
+      finishJob(gate, answered ? now - startedAt : null, now);
+      if (!run.cancelled) onOutcome(outcome, report(request.route));
+    });
+    return run;
+  }
+  const noteRefusedConnection = () => {
+    refusedConnections++;
+    if (refusedConnections !== REFUSED_CONNECTIONS) return;
+    log("server-lost", { server: registration?.id, reason: "connect-failed" });
+    onChange();
+  };
+  const noteOtherServer = ({ serverId }: CallRequest) => {
+    if (registration === null || registration.id !== serverId) return;
+    log("server-replaced", { server: serverId });
+    registration = null;
+    onChange();
+  };
+
+  return {
+    registration: () => registration,
+    available,
+    load: () => loadOf(gate),
+    announce: (announcement) =>
+      update(register(registration, announcement, steadyTime())),
+    depart: (departure) => update(depart(registration, departure)),
+    recall({ id, startedAt }) {
+      if (registration !== null && registration.startedAt >= startedAt) return;
+      const now = steadyTime();
+      registration = {
+        id,
+        startedAt,
+        sequence: 0,
+        slots: 1,
+        leaving: true,
+        departed: true,
+        coldUntil: now,
+        heardAt: now,
+      };
+    },
+    serve(request, onOutcome) {
+      const refuse = (
+        reason: "leaving" | "no-server" | "other-server",
+      ) => {
+        onOutcome(
+          { kind: "not-run", reason, arrived: false },
+          { load: loadOf(gate), costs: null },
+        );
+        return () => {};
+      };
+      if (registration === null) return refuse("no-server");
+      if (registration.id !== request.serverId) return refuse("other-server");
+      if (registration.leaving) return refuse("leaving");
+      if (!alive(steadyTime())) return refuse("no-server");
+      let run: Run | null = null;
+      const job: Job = {
+        nested: request.nested,
+        rank: request.rank,
+        expiresAt: request.expiresAt,
+        start() {
+          if (registration?.id === request.serverId && !registration.leaving) {
+            run = start(request, onOutcome);
+            return;
+          }
+          // The server left while the request waited.
+          gate.running--;
+          refuse("leaving");
+        },
+        refuse: (reason, waitMs) =>
+          onOutcome(
+            { kind: "not-run", reason, waitMs, arrived: false },
+            { load: loadOf(gate), costs: null },
+          ),
+      };
+      offerJob(gate, job, steadyTime());
+      return () => {
+        if (run === null) withdrawJob(gate, job);
+        else {
+          run.cancelled = true;
+          // A request that runs at most once is left to finish.
+          if (request.repeatable) run.connection.close();
+        }
+      };
+    },
+    tick() {
+      const now = steadyTime();
+      expireJobs(gate, now);
+      for (const { request, connection } of runs) {
+        if (now > request.expiresAt + OVERDUE_MS) connection.close();
+      }
+      pool.sweep(now);
+    },
+    open: () => gate.running + gate.waiting,
+    close: () => pool.clear(),
+  };
+}
+
+/** Whether the server was slow after its start when it was last heard. */
+function isCold({ coldUntil, heardAt }: Registration): boolean {
+  return coldUntil > heardAt;
+}
--- /dev/null
+++ b/src/backend/create_gate.ts
@@ -0,0 +1,15 @@
+import type { Gate } from "./gate.ts";
+
+// Until runs have been timed; soon replaced by what is measured.
+const FIRST_MEAN_RUN_MS = 50;
+
+/** Creates an idle gate. */
+export function createGate(limit: number): Gate {
+  return {
+    limit,
+    running: 0,
+    queues: [],
+    waiting: 0,
+    meanRunMs: FIRST_MEAN_RUN_MS,
+  };
+}
--- /dev/null
+++ b/src/backend/open_server_connection.ts
@@ -0,0 +1,123 @@
+import { connect } from "node:net";
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+import { createMessageReader } from "../http1/create_message_reader.ts";
+import type { Message } from "../http1/message.ts";
+import { responseFraming } from "../http1/response_framing.ts";
+import { writeMessage } from "../http1/write_message.ts";
+import type { ServerConnection } from "./server_connection.ts";
+import type { ServerProtocol } from "./server_protocol.ts";
+
+const LIMITS = { headBytes: 64 * 1024, bodyBytes: 64 * 1024 * 1024 };
+// Where a server doesn't say how long it keeps an idle connection open.
+const DEFAULT_KEEP_ALIVE_MS = 5_000;
+
+type Exchange = {
+  request: CallRequest;
+  onOutcome: (outcome: CallOutcome) => void;
+};
+
+/**
+ * Opens a connection to the backend server. `onIdle` is called whenever it can
+ * take a request again, `onClose` once; a request without an outcome gets one
+ * before that.
+ */
+export function openServerConnection(
+  { host, port, protocol, steadyTime, onIdle, onClose }: {
+    host: string;
+    port: number;
+    protocol: ServerProtocol;
+    steadyTime: () => number;
+    onIdle: (connection: ServerConnection) => void;
+    onClose: (connection: ServerConnection) => void;
+  },
+): ServerConnection {
+  let exchange: Exchange | null = null;
+  let connected = false;
+  let closed = false;
+  // After a response to another request nothing tells whether more follow.
+  let reusable = true;
+  const socket = connect({ host, port });
+  socket.setNoDelay(true);
+
+  const settle = (outcome: CallOutcome) => {
+    const settled = exchange;
+    exchange = null;
+    settled?.onOutcome(outcome);
+  };
+  const close = (outcome: CallOutcome) => {
+    if (closed) return;
+    closed = true;
+    socket.destroy();
+    settle(outcome);
+    onClose(connection);
+  };
+  const lost = (): CallOutcome =>
+    connected
+      ? { kind: "unknown", reason: "connection-lost" }
+      : { kind: "not-run", reason: "connect-failed", arrived: false };
+
+  const onMessage = (message: Message) => {
+    if (exchange === null) {
+      close(lost());
+      return;
+    }
+    const response = protocol.readResponse(message, exchange.request);
+    if (response.kind === "foreign") {
+      reusable = false;
+      if (!message.persistent) {
+        close({ kind: "unknown", reason: "mismatched-response" });
+      }
+      return;
+    }
+    const { outcome, keepAliveMs } = response;
+    reusable &&= message.persistent && outcome.kind !== "unknown";
+    if (!reusable) {
+      close(outcome);
+      return;
+    }
+    settle(outcome);
+    connection.keepAliveMs = keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS;
+    // Bytes behind the response in the same chunk belong to no request; they
+    // are read before the connection takes the next one.
+    queueMicrotask(() => {
+      if (closed) return;
+      connection.idleSince = steadyTime();
+      onIdle(connection);
+    });
+  };
+  const reader = createMessageReader({
+    framing: responseFraming,
+    limits: () => LIMITS,
+    onMessage,
+    onFault: () => close({ kind: "unknown", reason: "malformed-response" }),
+  });
+  const connection: ServerConnection = {
+    idleSince: steadyTime(),
+    keepAliveMs: DEFAULT_KEEP_ALIVE_MS,
+    send(request, now, onOutcome) {
+      exchange = { request, onOutcome };
+      const remainingMs = Math.max(0, Math.floor(request.expiresAt - now));
+      const head = protocol.formatRequest(request, remainingMs);
+      writeMessage(socket, head, request.body);
+    },
+    close: () => close(lost()),
+  };
+  socket.on("connect", () => {
+    connected = true;
+  });
+  socket.on("data", (chunk: Buffer) => {
+    if (!closed) reader.push(chunk);
+  });
+  socket.on("end", () => {
+    reader.end();
+    close(
+      reader.partial() !== "none"
+        ? { kind: "unknown", reason: "truncated-response" }
+        : lost(),
+    );
+  });
+  socket.on("error", () => close(lost()));
+  socket.on("close", () => close(lost()));
+  return connection;
+}
--- /dev/null
+++ b/src/backend/register.ts
@@ -0,0 +1,29 @@
+import type { Announcement } from "./announcement.ts";
+import type { Registration } from "./registration.ts";
+
+/**
+ * Applies a heartbeat. Heartbeats can be late: one from an earlier start, with
+ * an earlier sequence number, or of a server that has signed off changes
+ * nothing, and a server that has begun to leave doesn't come back.
+ */
+export function register(
+  current: Registration | null,
+  announcement: Announcement,
+  now: number,
+): Registration {
+  const { id, startedAt, sequence, slots, leaving, coldMs } = announcement;
+  const next = {
+    id,
+    startedAt,
+    sequence,
+    slots,
+    leaving,
+    departed: false,
+    coldUntil: now + coldMs,
+    heardAt: now,
+  };
+  if (current === null || startedAt > current.startedAt) return next;
+  if (startedAt < current.startedAt || id !== current.id) return current;
+  if (current.departed || sequence <= current.sequence) return current;
+  return { ...next, leaving: leaving || current.leaving };
+}
--- /dev/null
+++ b/src/backend/server_connection.ts
@@ -0,0 +1,16 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+
+/** A connection to the backend server; it carries one request at a time. */
+export type ServerConnection = {
+  send(
+    request: CallRequest,
+    now: number,
+    onOutcome: (outcome: CallOutcome) => void,
+  ): void;
+  close(): void;
+  /** Steady time at which the connection became idle, in ms. */
+  idleSince: number;
+  /** How long the server keeps it open when idle, in ms. */
+  keepAliveMs: number;
+};
--- /dev/null
+++ b/src/calls/call_outcome.ts
@@ -0,0 +1,41 @@
+import type { Fields } from "../http1/fields.ts";
+
+/**
+ * What became of one attempt to run a request. `not-run` is a promise: the
+ * request has not run and never will in this attempt.
+ */
+export type CallOutcome =
+  | {
+    kind: "answered";
+    status: number;
+    fields: Fields;
+    body: Buffer;
+  }
+  | {
+    kind: "not-run";
+    reason: NotRunReason;
+    /** Time after which room is expected, in ms. */
+    waitMs?: number;
+    /** Whether a backend server received the request and rejected it. */
+    arrived: boolean;
+  }
+  | { kind: "unknown"; reason: UnknownReason };
+
+type NotRunReason =
+  | "overload"
+  | "expired"
+  | "cancelled"
+  | "leaving"
+  | "no-server"
+  | "other-server"
+  | "server-rejected"
+  | "connect-failed";
+
+type UnknownReason =
+  | "connection-lost"
+  | "malformed-response"
+  | "mismatched-response"
+  | "truncated-response"
+  | "unsigned-response"
+  | "link-lost"
+  | "expired";
--- a/src/cli/read_answer.ts
+++ b/src/cli/read_answer.ts
@@ -1,5 +1,5 @@
 import type { z } from "zod";
-import { parseJson } from "../rules/parse_json.ts";
+import { parseJson } from "../core/parse_json.ts";
 import type { Answer } from "./answer.ts";
 
 type Read<Value> =
--- /dev/null
+++ b/src/costs/create_call_graph.ts
@@ -0,0 +1,14 @@
+import type { CallGraph } from "./call_graph.ts";
+
+/** Creates a graph that knows nothing yet. */
+export function createCallGraph(service: string, now: number): CallGraph {
+  return {
+    service,
+    runs: new Map(),
+    calls: new Map(),
+    ratios: new Map(),
+    slotMs: new Map(),
+    callees: new Map(),
+    windowStartedAt: now,
+  };
+}
--- a/src/daemon/create_stores.ts
+++ b/src/daemon/create_stores.ts
@@ -1,5 +1,5 @@
-import { createObjectStore } from "../platform/create_object_store.ts";
-import { createTableService } from "../platform/create_table_service.ts";
+import { createObjectStore } from "../store/create_object_store.ts";
+import { createTableService } from "../store/create_table_service.ts";
 import type { Settings } from "../settings/settings.ts";
 import type { Platform } from "./platform.ts";
 
--- a/src/execution/claim_key.ts
+++ b/src/execution/claim_key.ts
@@ -1,6 +1,6 @@
 import { sha256 } from "../core/sha256.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 
 type KeyClaim =
   /** The token the key belongs to: the offered one, or that of an earlier claim. */
--- a/src/execution/claim_key_test.ts
+++ b/src/execution/claim_key_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import { claimKey } from "./claim_key.ts";
 
 type Fault = "none" | "down" | "lost" | "lost-before";
--- /dev/null
+++ b/src/http1/fields.ts
@@ -0,0 +1,2 @@
+/** Header fields in the order received; names and values alternate. */
+export type Fields = readonly string[];
--- /dev/null
+++ b/src/http1/framing.ts
@@ -0,0 +1,5 @@
+/** Where the body of a message ends (RFC 9112, section 6.3). */
+export type Framing =
+  | { kind: "fixed"; bytes: number }
+  | { kind: "chunked" }
+  | { kind: "until-close" };
--- /dev/null
+++ b/src/http1/message.ts
@@ -0,0 +1,11 @@
+import type { Fields } from "./fields.ts";
+
+/** A whole HTTP/1.1 message; the body is empty where there is none. */
+export type Message = {
+  /** The request line or the status line. */
+  startLine: string;
+  fields: Fields;
+  body: Buffer;
+  /** Whether the connection can carry another message after this one. */
+  persistent: boolean;
+};
--- /dev/null
+++ b/src/http1/message_limits.ts
@@ -0,0 +1,2 @@
+/** Bounds on one message. */
+export type MessageLimits = { headBytes: number; bodyBytes: number };
--- /dev/null
+++ b/src/http1/parse_status_line.ts
@@ -0,0 +1,7 @@
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: |$)/;
+
+/** Returns the status of a status line, or null if it isn't one. */
+export function parseStatusLine(line: string): number | null {
+  const match = STATUS_LINE.exec(line);
+  return match === null ? null : Number(match[1]);
+}
--- /dev/null
+++ b/src/http1/request_line.ts
@@ -0,0 +1,2 @@
+/** The parts of a request line. */
+export type RequestLine = { method: string; target: string };
--- a/src/membership/bootstrap_test.ts
+++ b/src/membership/bootstrap_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import type { Item } from "../platform/item.ts";
-import type { TableService } from "../platform/table_service.ts";
+import type { Item } from "../store/item.ts";
+import type { TableService } from "../store/table_service.ts";
 import { createDirectory } from "./create_directory.ts";
 import { keepBootstrap } from "./keep_bootstrap.ts";
 import { merge } from "./merge.ts";
--- a/src/membership/keep_bootstrap.ts
+++ b/src/membership/keep_bootstrap.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import type { Directory } from "./directory.ts";
 import { planBootstrap } from "./plan_bootstrap.ts";
 import { readBootstrap } from "./read_bootstrap.ts";
--- a/src/membership/plan_bootstrap.ts
+++ b/src/membership/plan_bootstrap.ts
@@ -1,5 +1,5 @@
 import { hash } from "../core/hash.ts";
-import type { Write } from "../platform/write.ts";
+import type { Write } from "../store/write.ts";
 import type { BootstrapRow } from "./bootstrap_row.ts";
 import { BOOTSTRAP_SEATS } from "./bootstrap_seats.ts";
 import type { Directory } from "./directory.ts";
--- a/src/membership/read_bootstrap.ts
+++ b/src/membership/read_bootstrap.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import { BootstrapRow } from "./bootstrap_row.ts";
 import { BOOTSTRAP_SEATS } from "./bootstrap_seats.ts";
 
--- /dev/null
+++ b/src/mesh/accept_link.ts
@@ -0,0 +1,143 @@
+import type { Socket } from "node:net";
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+import type { Logger } from "../core/logger.ts";
+import { costTuples } from "./cost_tuples.ts";
+import { createLink } from "./create_link.ts";
+import { Entry } from "./entry.ts";
+import type { Link } from "./link.ts";
+import type { Message } from "./message.ts";
+
+/** A link that another daemon opened to this one. */
+type Accepted = {
+  link: Link;
+  /** Null until the other side has introduced itself. */
+  entry: Entry | null;
+  /** Cancels the calls that have no outcome yet, by stream. */
+  cancels: Map<number, () => void>;
+};
+
+type Handlers = {
+  steadyTime: () => number;
+  log: Logger;
+  entry: () => Entry;
+  onHello: (accepted: Accepted, entry: Entry) => void;
+  onConfig: (version: number, bytes: Uint8Array) => void;
+  onClose: (accepted: Accepted) => void;
+  /** Runs a call at the backend server; returns what cancels it. */
+  serve: (
+    request: CallRequest,
+    onOutcome: (outcome: CallOutcome, report: CallReport) => void,
+  ) => () => void;
+};
+
+/** Serves the calls of another daemon on the link that it opened. */
+export function acceptLink(socket: Socket, handlers: Handlers): Accepted {
+  const { steadyTime, onClose } = handlers;
+  const accepted: Accepted = {
+    entry: null,
+    cancels: new Map(),
+    link: createLink(socket, {
+      steadyTime,
+      onMessage: (message) => receive(accepted, message, handlers),
+      onClose() {
+        const cancels = [...accepted.cancels.values()];
+        accepted.cancels.clear();
+        for (const cancel of cancels) cancel();
+        onClose(accepted);
+      },
+    }),
+  };
+  return accepted;
+}
+
+function receive(
+  accepted: Accepted,
+  message: Message,
+  handlers: Handlers,
+): void {
+  const handle = RECEIVERS[message[0]];
+  if (handle === undefined) {
+    handlers.log("peer-message-ignored", { kind: String(message[0]) });
+    return;
+  }
+  handle(accepted, message as never, handlers);
+}
+
+type Receiver<Kind extends Message[0]> = (
+  accepted: Accepted,
+  message: Extract<Message, { 0: Kind }>,
+  handlers: Handlers,
+) => void;
+
+const RECEIVERS: { [Kind in Message[0]]?: Receiver<Kind> } = {
+  hello(accepted, [, input], { log, entry, onHello }) {
+    const parsed = Entry.safeParse(input);
+    if (!parsed.success) {
+      log("peer-entry-unreadable", {});
+      accepted.link.close();
+      return;
+    }
+    accepted.entry = parsed.data;
+    accepted.link.send(["entry", entry()]);
+    onHello(accepted, parsed.data);
+  },
+  config: (_accepted, [, version, bytes], { onConfig }) =>
+    onConfig(version, bytes),
+  ping(accepted) {
+    accepted.link.send(["pong"]);
+  },
+  cancel({ cancels }, [, stream]) {
+    const cancel = cancels.get(stream);
+    cancels.delete(stream);
+    cancel?.();
+  },
+  request(accepted, [, stream, head, remainingMs, body], handlers) {
+    const { entry, link, cancels } = accepted;
+    if (entry === null) {
+      link.close();
+      return;
+    }
+    const request: CallRequest = {
+      ...head,
+      caller: entry.service,
+      body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
+      expiresAt: handlers.steadyTime() + remainingMs,
+    };
+    let settled = false;
+    const cancel = handlers.serve(request, (outcome, report) => {
+      settled = true;
+      cancels.delete(stream);
+      link.send(SETTLED[outcome.kind](stream, outcome as never, report));
+    });
+    if (!settled) cancels.set(stream, cancel);
+  },
+};
+
+const SETTLED: {
+  [Kind in CallOutcome["kind"]]: (
+    stream: number,
+    outcome: Extract<CallOutcome, { kind: Kind }>,
+    report: CallReport,
+  ) => Message;
+} = {
+  answered: (stream, { status, fields, body }, { load, costs }) => [
+    "answered",
+    stream,
+    status,
+    fields as string[],
+    body,
+    load,
+    costTuples(costs),
+  ],
+  "not-run": (stream, { reason, waitMs = 0, arrived }, { load }) => [
+    "not-run",
+    stream,
+    reason,
+    Math.round(waitMs),
+    arrived,
+    load,
+  ],
+  unknown: (stream, { reason }, { load }) => ["unknown", stream, reason, load],
+};
--- /dev/null
+++ b/src/mesh/create_link.ts
@@ -0,0 +1,73 @@
+import type { Socket } from "node:net";
+import { createFrameReader } from "./create_frame_reader.ts";
+import type { Link } from "./link.ts";
+import type { Message } from "./message.ts";
+import { messageCodec } from "./message_codec.ts";
+
+// The largest body that the product takes, with room for its fields.
+const MAX_FRAME_BYTES = 72 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+
+/** Frames messages on a connected socket; `onClose` is called once. */
+export function createLink(
+  socket: Socket,
+  { steadyTime, onMessage, onClose }: {
+    steadyTime: () => number;
+    onMessage: (message: Message) => void;
+    onClose: (reason: string) => void;
+  },
+): Link {
+  let closed = false;
+  let corked = false;
+  const close = (reason: string) => {
+    if (closed) return;
+    closed = true;
+    socket.destroy();
+    onClose(reason);
+  };
+  const read = createFrameReader(MAX_FRAME_BYTES, (frame) => {
+    const message = unpack(frame);
+    if (message === null) close("unreadable message");
+    else if (!closed) onMessage(message);
+  });
+  const uncork = () => {
+    corked = false;
+    socket.uncork();
+  };
+  const link: Link = {
+    receivedAt: steadyTime(),
+    unsentBytes: () => socket.writableLength,
+    send(message) {
+      if (closed) return;
+      if (!corked) {
+        corked = true;
+        socket.cork();
+        setImmediate(uncork);
+      }
+      const payload = messageCodec.pack(message);
+      const length = Buffer.allocUnsafe(LENGTH_BYTES);
+      length.writeUInt32BE(payload.length);
+      socket.write(length);
+      socket.write(payload);
+    },
+    close: () => close("closed"),
+  };
+  socket.setNoDelay(true);
+  socket.on("data", (chunk: Buffer) => {
+    link.receivedAt = steadyTime();
+    if (!read(chunk)) close("oversized message");
+  });
+  socket.on("error", ({ message }) => close(message));
+  socket.on("close", () => close("connection closed"));
+  return link;
+}
+
+/** Returns null for bytes that aren't a message; the caller ends the link. */
+function unpack(frame: Buffer): Message | null {
+  try {
+    const message = messageCodec.unpack(frame);
+    return Array.isArray(message) ? message as Message : null;
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/src/mesh/create_mesh.ts
@@ -0,0 +1,173 @@
+import { createServer } from "node:net";
+import type { Logger } from "../core/logger.ts";
+import { acceptLink } from "./accept_link.ts";
+import { createPeer } from "./create_peer.ts";
+import type { Entry } from "./entry.ts";
+import type { Mesh } from "./mesh.ts";
+import { openPeerLink } from "./open_peer_link.ts";
+import type { Peer } from "./peer.ts";
+
+// A link without news is asked this often whether it still carries bytes.
+const PING_AFTER_MS = 1_000;
+// An answer takes a few ms; the rest is room for a peer that is short of
+// processor time. A link that went silent holds up its calls this long.
+const SILENCE_MS = 1_500;
+// A gap between two ticks above this means that this process stood still; the
+// links had no chance to show life.
+const PAUSE_MS = 1_000;
+// A daemon that stays away this long has been replaced.
+const FORGET_MS = 60_000;
+
+type Accepted = ReturnType<typeof acceptLink>;
+type Serve = Parameters<typeof acceptLink>[1]["serve"];
+
+/** Listens for other daemons and keeps a link to each that is known. */
+export function createMesh(
+  {
+    host,
+    port,
+    self,
+    steadyTime,
+    log,
+    serve,
+    configuration,
+    onConfig,
+    onSilence,
+  }: {
+    host: string;
+    port: number;
+    self: () => Entry;
+    steadyTime: () => number;
+    log: Logger;
+    serve: Serve;
+    /** The configuration in force, as the operator wrote it. */
+    configuration: () => { version: number; bytes: Uint8Array } | null;
+    onConfig: (version: number, bytes: Uint8Array) => void;
+    /** A link went silent; other connections may have gone the same way. */
+    onSilence: () => void;
+  },
+): Mesh {
+  const peers = new Map<string, Peer>();
+  const accepted = new Set<Accepted>();
+  let nextStream = 0;
+  let tickedAt = steadyTime();
+  let closed = false;
+
+  const handOver = (link: Accepted["link"], entry: Entry) => {
+    const current = configuration();
+    if (current !== null && current.version > entry.routeVersion) {
+      link.send(["config", current.version, current.bytes]);
+    }
+  };
+  const open = (peer: Peer) =>
+    openPeerLink(peer, {
+      steadyTime,
+      log,
+      hello: self,
+      onConfig,
+      onEntry: ({ link, entry }) => handOver(link!, entry!),
+      onPeers: (addresses) => addresses.forEach(meet),
+    });
+  const meet = (address: string) => {
+    if (closed || address === self().address || peers.has(address)) return;
+    const peer = createPeer(address);
+    peers.set(address, peer);
+    open(peer);
+  };
+
+  const server = createServer((socket) => {
+    accepted.add(acceptLink(socket, {
+      steadyTime,
+      log,
+      entry: self,
+      serve,
+      onConfig,
+      onClose: (link) => accepted.delete(link),
+      onHello({ link }, entry) {
+        if (entry.alone) link.send(["peers", [...peers.keys()]]);
+        handOver(link, entry);
+        const known = peers.get(entry.address);
+        if (known === undefined) meet(entry.address);
+        else known.retryAt = 0;
+      },
+    }));
+  });
+  server.on("error", ({ message }) => log("mesh-listen-failed", { message }));
+  server.listen({ host, port });
+
+  return {
+    peers,
+    meet,
+    announce(entry) {
+      for (const { link } of accepted) link.send(["entry", entry]);
+    },
+    reportLoad(load) {
+      for (const { link } of accepted) link.send(["load", load]);
+    },
+    share(version, bytes) {
+      for (const { link, entry } of peers.values()) {
+        if (entry !== null && entry.routeVersion === 0) {
+          link?.send(["config", version, bytes]);
+        }
+      }
+    },
+    call(peer, request, onOutcome) {
+      const { link } = peer;
+      if (link === null) {
+        onOutcome(
+          { kind: "not-run", reason: "no-server", arrived: false },
+          null,
+        );
+        return () => {};
+      }
+      const stream = nextStream++;
+      const { body, expiresAt, caller: _caller, ...head } = request;
+      peer.calls.set(stream, onOutcome);
+      peer.sentSince++;
+      const remainingMs = Math.max(0, Math.floor(expiresAt - steadyTime()));
+      link.send(["request", stream, head, remainingMs, body]);
+      return () => {
+        if (peer.calls.delete(stream)) link.send(["cancel", stream]);
+      };
+    },
+    tick() {
+      const now = steadyTime();
+      const paused = now - tickedAt > PAUSE_MS;
+      tickedAt = now;
+      for (const peer of peers.values()) {
+        if (peer.link !== null) {
+          if (!checkLink(peer, now, paused)) onSilence();
+        } else if (
+          peer.downSince !== null && now - peer.downSince > FORGET_MS
+        ) {
+          peers.delete(peer.address);
+        } else if (!peer.connecting && now >= peer.retryAt) open(peer);
+      }
+    },
+    close() {
+      closed = true;
+      server.close();
+      for (const { link } of peers.values()) link?.close();
+      for (const { link } of accepted) link.close();
+    },
+  };
+}
+
+/** Pings a quiet link; closes one that doesn't answer and returns false. */
+function checkLink(peer: Peer, now: number, paused: boolean): boolean {
+  const link = peer.link!;
+  if (peer.pingedAt !== null && link.receivedAt > peer.pingedAt) {
+    peer.pingedAt = null;
+  }
+  if (paused) peer.pingedAt = null;
+  if (peer.pingedAt !== null) {
+    if (now - peer.pingedAt <= SILENCE_MS) return true;
+    link.close();
+    return false;
+  }
+  if (now - link.receivedAt > PING_AFTER_MS) {
+    peer.pingedAt = now;
+    link.send(["ping"]);
+  }
+  return true;
+}
--- /dev/null
+++ b/src/mesh/create_peer.ts
@@ -0,0 +1,17 @@
+import type { Peer } from "./peer.ts";
+
+/** Creates a peer that hasn't been contacted. */
+export function createPeer(address: string): Peer {
+  return {
+    address,
+    entry: null,
+    link: null,
+    connecting: false,
+    calls: new Map(),
+    load: 0,
+    sentSince: 0,
+    downSince: null,
+    retryAt: 0,
+    pingedAt: null,
+  };
+}
--- /dev/null
+++ b/src/mesh/entry.ts
@@ -0,0 +1,23 @@
+import { z } from "zod";
+
+/** What a daemon says of itself and of the backend server beside it. */
+export const Entry = z.object({
+  name: z.string().min(1),
+  /** Address of the listener for other daemons, `IP:PORT`. */
+  address: z.string().min(1),
+  dataCentre: z.string(),
+  service: z.string(),
+  server: z.object({
+    id: z.string(),
+    slots: z.number().int().min(1),
+    /** A leaving server takes no new work. */
+    leaving: z.boolean(),
+    /** Whether the server is still slow after its start. */
+    cold: z.boolean(),
+  }).nullable(),
+  /** Version of the route table in force, 0 for none. */
+  routeVersion: z.number().int().min(0),
+  /** Whether the daemon knows no other daemon yet. */
+  alone: z.boolean(),
+});
+export type Entry = z.infer<typeof Entry>;
--- /dev/null
+++ b/src/mesh/link.ts
@@ -0,0 +1,12 @@
+import type { Message } from "./message.ts";
+
+/** One connection between two daemons. */
+export type Link = {
+  /** Queues a message; the messages of one turn of the loop go out together. */
+  send(message: Message): void;
+  close(): void;
+  /** Steady time at which the last bytes came in, in ms. */
+  receivedAt: number;
+  /** Bytes that the other side hasn't taken yet. */
+  unsentBytes(): number;
+};
--- /dev/null
+++ b/src/mesh/mesh.ts
@@ -0,0 +1,30 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+import type { Entry } from "./entry.ts";
+import type { Peer } from "./peer.ts";
+
+/** The links of this daemon to all others. */
+export type Mesh = {
+  peers: ReadonlyMap<string, Peer>;
+  /** Learns the address of a daemon and connects to it. */
+  meet(address: string): void;
+  /** Sends this daemon's entry to all that have a link to it. */
+  announce(entry: Entry): void;
+  /** Tells all that have a link to this daemon the load of its server. */
+  reportLoad(load: number): void;
+  /** Hands a newer configuration to those known to be behind. */
+  share(version: number, bytes: Uint8Array): void;
+  /**
+   * Sends a call; the outcome comes once. Returns a function that cancels the
+   * call, after which no outcome comes.
+   */
+  call(
+    peer: Peer,
+    request: CallRequest,
+    onOutcome: (outcome: CallOutcome, report: CallReport | null) => void,
+  ): () => void;
+  /** Checks links for silence and opens lost ones again. */
+  tick(): void;
+  close(): void;
+};
--- /dev/null
+++ b/src/mesh/message.ts
@@ -0,0 +1,43 @@
+import type { CallRequest } from "../calls/call_request.ts";
+import type { Entry } from "./entry.ts";
+
+/**
+ * Messages between daemons: tuples that begin with their kind. Calls carry a
+ * stream number that the side that opened the link chose. Times are remaining
+ * ms, since the clocks of two daemons can't be compared.
+ */
+export type Message =
+  /** First message of the side that opened the link. */
+  | ["hello", Entry]
+  /** First message of the accepting side, sent again when its entry changes. */
+  | ["entry", Entry]
+  /** Addresses of daemons, for one that knows no other. */
+  | ["peers", string[]]
+  /** A configuration with its version, as the operator wrote it. */
+  | ["config", number, Uint8Array]
+  | ["ping"]
+  | ["pong"]
+  /** Load of the backend server on the accepting side. */
+  | ["load", number]
+  | [
+    "request",
+    number,
+    Omit<CallRequest, "body" | "expiresAt" | "caller">,
+    number,
+    Uint8Array,
+  ]
+  | ["cancel", number]
+  /** Stream, status, fields, body, load, costs as service and slot time. */
+  | [
+    "answered",
+    number,
+    number,
+    string[],
+    Uint8Array,
+    number,
+    [string, number][] | null,
+  ]
+  /** Stream, reason, time until room is expected, arrived, load. */
+  | ["not-run", number, string, number, boolean, number]
+  /** Stream, reason, load. */
+  | ["unknown", number, string, number];
--- /dev/null
+++ b/src/mesh/open_peer_link.ts
@@ -0,0 +1,161 @@
+import { connect } from "node:net";
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { Logger } from "../core/logger.ts";
+import { createLink } from "./create_link.ts";
+import { Entry } from "./entry.ts";
+import type { Message } from "./message.ts";
+import type { Peer } from "./peer.ts";
+
+// Across data centres a connection takes a few ms; a lost opening packet is
+// sent again after one second.
+const CONNECT_TIMEOUT_MS = 1_200;
+const RETRY_MS = 500;
+
+type Handlers = {
+  steadyTime: () => number;
+  log: Logger;
+  hello: () => Entry;
+  onEntry: (peer: Peer) => void;
+  onPeers: (addresses: string[]) => void;
+  onConfig: (version: number, bytes: Uint8Array) => void;
+};
+
+/** Connects to a peer; its calls fail as unknown when the link is lost. */
+export function openPeerLink(peer: Peer, handlers: Handlers): void {
+  const { steadyTime, log, hello } = handlers;
+  const [host, port] = peer.address.split(":") as [string, string];
+  peer.connecting = true;
+  const socket = connect({ host, port: Number(port), timeout: 0 });
+  const timer = setTimeout(
+    () => socket.destroy(new Error("connect timed out")),
+    CONNECT_TIMEOUT_MS,
+  );
+  let open = false;
+  const link = createLink(socket, {
+    steadyTime,
+    onMessage: (message) => receive(peer, message, handlers),
+    onClose(reason) {
+      clearTimeout(timer);
+      const now = steadyTime();
+      peer.connecting = false;
+      peer.retryAt = now + RETRY_MS;
+      if (open || peer.downSince === null) {
+        log("peer-lost", {
+          peer: peer.entry?.name ?? peer.address,
+          reason,
+          calls: peer.calls.size,
+        });
+      }
+      peer.downSince ??= now;
+      peer.link = null;
+      peer.entry = null;
+      peer.pingedAt = null;
+      peer.load = 0;
+      peer.sentSince = 0;
+      const lost = [...peer.calls.values()];
+      peer.calls.clear();
+      for (const settle of lost) {
+        settle({ kind: "unknown", reason: "link-lost" }, null);
+      }
+    },
+  });
+  socket.on("connect", () => {
+    clearTimeout(timer);
+    open = true;
+    peer.connecting = false;
+    peer.link = link;
+    link.receivedAt = steadyTime();
+    link.send(["hello", hello()]);
+  });
+}
+
+function receive(peer: Peer, message: Message, handlers: Handlers): void {
+  const handle = RECEIVERS[message[0]];
+  if (handle === undefined) {
+    handlers.log("peer-message-ignored", {
+      peer: peer.address,
+      kind: String(message[0]),
+    });
+    return;
+  }
+  handle(peer, message as never, handlers);
+}
+
+type Receiver<Kind extends Message[0]> = (
+  peer: Peer,
+  message: Extract<Message, { 0: Kind }>,
+  handlers: Handlers,
+) => void;
+
+const RECEIVERS: { [Kind in Message[0]]?: Receiver<Kind> } = {
+  entry(peer, [, input], { log, onEntry }) {
+    const parsed = Entry.safeParse(input);
+    if (!parsed.success) {
+      log("peer-entry-unreadable", { peer: peer.address });
+      return;
+    }
+    const first = peer.entry === null;
+    peer.entry = parsed.data;
+    if (first) {
+      log("peer-found", { peer: parsed.data.name, address: peer.address });
+      peer.downSince = null;
+    }
+    onEntry(peer);
+  },
+  peers: (_peer, [, addresses], { onPeers }) => onPeers(addresses),
+  config: (_peer, [, version, bytes], { onConfig }) => onConfig(version, bytes),
+  pong(peer) {
+    peer.pingedAt = null;
+  },
+  load(peer, [, load]) {
+    peer.load = load;
+    peer.sentSince = 0;
+  },
+  answered(peer, [, stream, status, fields, body, load, costs]) {
+    settle(peer, stream, load, {
+      kind: "answered",
+      status,
+      fields,
+      body: asBuffer(body),
+    }, costs);
+  },
+  "not-run"(peer, [, stream, reason, waitMs, arrived, load]) {
+    settle(peer, stream, load, {
+      kind: "not-run",
+      reason: reason as Extract<CallOutcome, { kind: "not-run" }>["reason"],
+      waitMs,
+      arrived,
+    }, null);
+  },
+  unknown(peer, [, stream, reason, load]) {
+    settle(peer, stream, load, {
+      kind: "unknown",
+      reason: reason as Extract<CallOutcome, { kind: "unknown" }>["reason"],
+    }, null);
+  },
+};
+
+function settle(
+  peer: Peer,
+  stream: number,
+  load: number,
+  outcome: CallOutcome,
+  costs: [string, number][] | null,
+): void {
+  peer.load = load;
+  peer.sentSince = 0;
+  const onOutcome = peer.calls.get(stream);
+  // The outcome of a cancelled call can cross its cancellation.
+  if (onOutcome === undefined) return;
+  peer.calls.delete(stream);
+  const report: CallReport = {
+    load,
+    costs: costs?.map(([service, slotMs]) => ({ service, slotMs })) ?? null,
+  };
+  onOutcome(outcome, report);
+}
+
+function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
--- /dev/null
+++ b/src/mesh/peer.ts
@@ -0,0 +1,25 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { Entry } from "./entry.ts";
+import type { Link } from "./link.ts";
+
+/** Another daemon as seen over the link that this daemon opened to it. */
+export type Peer = {
+  address: string;
+  /** Null until the other side has introduced itself on the present link. */
+  entry: Entry | null;
+  link: Link | null;
+  connecting: boolean;
+  /** Calls without an outcome, by stream. */
+  calls: Map<number, (outcome: CallOutcome, report: CallReport | null) => void>;
+  /** Load of its backend server as last reported. */
+  load: number;
+  /** Calls sent since that report. */
+  sentSince: number;
+  /** Steady time of the first failure since the link was last up, in ms. */
+  downSince: number | null;
+  /** Steady time of the next attempt to connect, in ms. */
+  retryAt: number;
+  /** Steady time of a ping without an answer, in ms. */
+  pingedAt: number | null;
+};
--- /dev/null
+++ b/src/origin/create_origin.ts
@@ -0,0 +1,287 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import type { CallGraph } from "../costs/call_graph.ts";
+import { noteCall } from "../costs/note_call.ts";
+import { choosePart } from "../routes/choose_part.ts";
+import { findRoute } from "../routes/find_route.ts";
+import type { RoutesInForce } from "../routes/routes_in_force.ts";
+import type { Admission } from "./admission.ts";
+import { chooseCandidate } from "./choose_candidate.ts";
+import { earnRetry } from "./earn_retry.ts";
+import type { Forwarder } from "./forwarder.ts";
+import { noteRoot } from "./note_root.ts";
+import type { OpenCall } from "./open_call.ts";
+import type { Origin } from "./origin.ts";
+import { refusedShare } from "./refused_share.ts";
+import type { Reply } from "./reply.ts";
+import { returnAfter } from "./return_after.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import { spendRetry } from "./spend_retry.ts";
+import { updateAdmission } from "./update_admission.ts";
+
+// Where the client states no deadline, the route's timeout is the only bound.
+const UNBOUNDED_MS = 3_600_000;
+// Servers that turn a request away in a row before it is refused.
+const MOST_REFUSALS = 3;
+// Time after which a daemon without routes or servers asks clients to return.
+const NOT_READY_RETRY_MS = 500;
+// A retry that has less than this share of the target latency left is wasted.
+const LEAST_RETRY_SHARE = 0.2;
+const SERVER_ERROR = 500;
+const DEADLINE_EXCEEDED = 504;
+
+/** Creates the origin of requests; `routes` returns those in force. */
+export function createOrigin(
+  {
+    caller,
+    dataCentre,
+    routes,
+    forwarder,
+    graph,
+    admission,
+    budget,
+    loads,
+    random,
+    steadyTime,
+    log,
+  }: {
+    /** Service that runs on this VM. */
+    caller: string;
+    dataCentre: string;
+    routes: () => RoutesInForce | null;
+    forwarder: Forwarder;
+    graph: CallGraph;
+    admission: Admission;
+    budget: RetryBudget;
+    /** Mean load of the servers of each service. */
+    loads: () => ReadonlyMap<string, number>;
+    random: Random;
+    steadyTime: () => number;
+    log: Logger;
+  },
+): Origin {
+  const open = new Set<OpenCall>();
+
+  const reply = (call: OpenCall, answer: Reply) => {
+    if (!open.delete(call)) return;
+    logReply(call, answer);
+    call.onReply(answer);
+  };
+  const logReply = (call: OpenCall, answer: Reply) => {
+    const { request, route, service, target, startedAt, attempts } = call;
+    log(EVENTS[answer.kind], {
+      id: request.id,
+      route: route.name,
+      nested: request.nested,
+      service,
+      server: target?.serverId,
+      load: target?.load,
+      attempts,
+      turnedAway: call.refusedBy.size,
+      ms: Math.round(steadyTime() - startedAt),
+      version: routes()?.table.version,
+      status: answer.kind === "answer" ? answer.status : undefined,
+      reason: "reason" in answer ? answer.reason : undefined,
+      retryAfterMs: answer.kind === "refusal"
+        ? Math.round(answer.retryAfterMs)
+        : undefined,
+    });
+  };
+
+  const refuse = (call: OpenCall, reason: string, roomMs: number) => {
+    const now = steadyTime();
+    reply(call, {
+      kind: "refusal",
+      reason,
+      retryAfterMs: returnAfter({
+        targetLatencyMs: call.route.targetLatencyMs,
+        runMs: graphTime(admission, call.route.name),
+        remainingMs: Math.max(0, call.clientLeavesAt - now),
+        roomMs,
+      }, random),
+    });
+  };
+
+  const send = (call: OpenCall) => {
+    const { request, route, service, refusedBy } = call;
+    const candidates = forwarder.candidates(service)
+      .filter(({ address }) => !refusedBy.has(address));
+    const target = chooseCandidate(candidates, dataCentre, random);
+    if (target === null) {
+      if (call.earlier !== null) reply(call, call.earlier);
+      else if (call.attempts > 0) fail(call, "no-other-server", false);
+      else refuse(call, "no-server", NOT_READY_RETRY_MS);
+      return;
+    }
+    call.target = target;
+    call.attempts++;
+    call.cancel = forwarder.send(target, {
+      id: request.id,
+      method: request.method,
+      target: request.target,
+      fields: request.fields,
+      body: request.body,
+      route: route.name,
+      serverId: target.serverId,
+      caller,
+      nested: request.nested,
+      rank: route.rank,
+      repeatable: route.repeatable,
+      expiresAt: call.expiresAt,
+    }, (outcome, report) => {
+      if (!open.has(call)) return;
+      learn(call, report);
+      settle[outcome.kind](call, outcome as never);
+    });
+  };
+
+  const learn = ({ request, route }: OpenCall, report: CallReport | null) => {
+    const costs = report?.costs ?? null;
+    if (costs === null) return;
+    if (request.nested) graph.callees.set(route.name, costs);
+    else noteRoot(admission, route.name, route.rank, costs, steadyTime());
+  };
+
+  const fail = (call: OpenCall, reason: string, expired: boolean) =>
+    reply(call, { kind: "failure", reason, expired });
+
+  /** Whether sending the request once more can still help its client. */
+  const mayRetry = (call: OpenCall) => {
+    const { route, service, attempts, expiresAt } = call;
+    if (!route.repeatable || attempts >= route.maxAttempts) return false;
+    const least = route.targetLatencyMs * LEAST_RETRY_SHARE;
+    if (expiresAt - steadyTime() < least) return false;
+    return spendRetry(budget, service);
+  };
+  const retry = (call: OpenCall) => {
+    call.refusedBy.add(call.target!.address);
+    send(call);
+  };
+
+  const settle: {
+    [Kind in CallOutcome["kind"]]: (
+      call: OpenCall,
+      outcome: Extract<CallOutcome, { kind: Kind }>,
+    ) => void;
+  } = {
+    answered(call, { status, fields, body }) {
+      const answer = { kind: "answer" as const, status, fields, body };
+      const failed = status >= SERVER_ERROR && status !== DEADLINE_EXCEEDED;
+      if (failed && call.earlier === null && mayRetry(call)) {
+        call.earlier = answer;
+        retry(call);
+      } else reply(call, failed ? call.earlier ?? answer : answer);
+    },
+    "not-run"(call, { reason, waitMs = 0, arrived }) {
+      call.attempts--;
+      call.refusedBy.add(call.target!.address);
+      const again = call.refusedBy.size < MOST_REFUSALS &&
+        reason !== "expired" &&
+        (!arrived || spendRetry(budget, call.service));
+      if (again) send(call);
+      else if (call.earlier !== null) reply(call, call.earlier);
+      else if (call.attempts > 0) fail(call, reason, reason === "expired");
+      else refuse(call, reason, waitMs);
+    },
+    unknown(call, { reason }) {
+      if (mayRetry(call)) retry(call);
+      else if (call.earlier !== null) reply(call, call.earlier);
+      else fail(call, reason, reason === "expired");
+    },
+  };
+
+  return {
+    start(request, onReply) {
+      const now = steadyTime();
+      const current = routes();
+      if (current === null) {
+        log("request-refused", { id: request.id, reason: "no-configuration" });
+        onReply({
+          kind: "refusal",
+          reason: "no-configuration",
+          retryAfterMs: NOT_READY_RETRY_MS,
+        });
+        return ignore;
+      }
+      const route = findRoute(current.index, request.host, request.target);
+      if (route === undefined) {
+        const { version } = current.table;
+        log("request-unrouted", {
+          id: request.id,
+          host: request.host,
+          version,
+        });
+        onReply({ kind: "no-route" });
+        return ignore;
+      }
+      const waitsMs = request.deadlineMs ?? UNBOUNDED_MS;
+      const service = choosePart(current.splits.get(route)!);
+      const call: OpenCall = {
+        request,
+        route,
+        service,
+        startedAt: now,
+        expiresAt: now + Math.min(waitsMs, route.timeoutMs),
+        clientLeavesAt: now + waitsMs,
+        attempts: 0,
+        refusedBy: new Set(),
+        target: null,
+        earlier: null,
+        cancel: ignore,
+        onReply,
+      };
+      open.add(call);
+      earnRetry(budget, service);
+      if (request.nested) noteCall(graph, route.name);
+      else {
+        noteRoot(admission, route.name, route.rank, null, now);
+        const { share, service: binding } = refusedShare(admission, route.name);
+        if (share > 0 && random() < share) {
+          refuse(call, `overload of ${binding}`, 0);
+          return ignore;
+        }
+      }
+      send(call);
+      return () => {
+        if (!open.delete(call)) return;
+        call.cancel();
+        log("request-cancelled", {
+          id: request.id,
+          route: route.name,
+          ms: Math.round(steadyTime() - now),
+        });
+      };
+    },
+    tick() {
+      const now = steadyTime();
+      for (const call of open) {
+        if (now < call.expiresAt) continue;
+        call.cancel();
+        if (call.earlier !== null) reply(call, call.earlier);
+        else fail(call, "expired", true);
+      }
+      updateAdmission(admission, loads(), now);
+    },
+    open: () => open.size,
+  };
+}
+
+const EVENTS: Record<Reply["kind"], string> = {
+  answer: "request-answered",
+  refusal: "request-refused",
+  failure: "request-failed",
+  "no-route": "request-unrouted",
+};
+
+/** Slot time of a root over all services, about the time that it takes. */
+function graphTime({ roots }: Admission, route: string): number {
+  let total = 0;
+  for (const { slotMs } of roots.get(route)?.costs ?? []) {
+    total = Math.max(total, slotMs);
+  }
+  return total;
+}
+
+function ignore(): void {}
--- /dev/null
+++ b/src/origin/forwarder.ts
@@ -0,0 +1,16 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { CallReport } from "../calls/call_report.ts";
+import type { CallRequest } from "../calls/call_request.ts";
+import type { Candidate } from "./candidate.ts";
+
+/** The way to the daemons beside backend servers, this one included. */
+export type Forwarder = {
+  /** Servers of a service that take new work. */
+  candidates(service: string): Candidate[];
+  /** Returns what cancels the call, after which no outcome comes. */
+  send(
+    candidate: Candidate,
+    request: CallRequest,
+    onOutcome: (outcome: CallOutcome, report: CallReport | null) => void,
+  ): () => void;
+};
--- /dev/null
+++ b/src/origin/note_root.ts
@@ -0,0 +1,20 @@
+import type { ServiceCost } from "../calls/service_cost.ts";
+import type { Admission } from "./admission.ts";
+
+/** Notes a root request; `costs` is null where nothing new is known. */
+export function noteRoot(
+  { roots }: Admission,
+  route: string,
+  rank: number,
+  costs: readonly ServiceCost[] | null,
+  now: number,
+): void {
+  const root = roots.get(route);
+  if (root === undefined) {
+    roots.set(route, { rank, costs: costs ?? [], seenAt: now });
+    return;
+  }
+  root.rank = rank;
+  root.seenAt = now;
+  if (costs !== null) root.costs = costs;
+}
--- /dev/null
+++ b/src/origin/open_call.ts
@@ -0,0 +1,24 @@
+import type { Route } from "../routes/route.ts";
+import type { Candidate } from "./candidate.ts";
+import type { OriginRequest } from "./origin_request.ts";
+import type { Reply } from "./reply.ts";
+
+/** A request that has no reply yet. */
+export type OpenCall = {
+  request: OriginRequest;
+  route: Route;
+  service: string;
+  /** Steady times in ms: its start, when it is given up, when the client is. */
+  startedAt: number;
+  expiresAt: number;
+  clientLeavesAt: number;
+  /** Servers that it was sent to and that may have run it. */
+  attempts: number;
+  /** Addresses of the daemons that turned it away. */
+  refusedBy: Set<string>;
+  target: Candidate | null;
+  /** A server's failure, kept while another server is tried. */
+  earlier: Extract<Reply, { kind: "answer" }> | null;
+  cancel: () => void;
+  onReply: (reply: Reply) => void;
+};
--- /dev/null
+++ b/src/origin/origin.ts
@@ -0,0 +1,16 @@
+import type { OriginRequest } from "./origin_request.ts";
+import type { Reply } from "./reply.ts";
+
+/** Where requests begin: finds the route, admits, and sends to a server. */
+export type Origin = {
+  /**
+   * Starts a request; the reply comes once, possibly before this returns. The
+   * returned function tells that the client has left, after which no reply
+   * comes.
+   */
+  start(request: OriginRequest, onReply: (reply: Reply) => void): () => void;
+  /** Gives up requests whose time is over, and updates the admission. */
+  tick(): void;
+  /** Requests without a reply. */
+  open(): number;
+};
--- /dev/null
+++ b/src/origin/origin_request.ts
@@ -0,0 +1,16 @@
+import type { Fields } from "../http1/fields.ts";
+
+/** A request as a client or the own backend server sent it. */
+export type OriginRequest = {
+  id: string;
+  host: string;
+  method: string;
+  /** Path and query. */
+  target: string;
+  fields: Fields;
+  body: Buffer;
+  /** How long the client waits, in ms; null where it doesn't say. */
+  deadlineMs: number | null;
+  /** Whether the own backend server sent it while it ran another request. */
+  nested: boolean;
+};
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -6,7 +6,7 @@
 import type { Stock } from "../execution/stock.ts";
 import type { Announcement } from "../membership/announcement.ts";
 import type { Metrics } from "../metrics/metrics.ts";
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import type { Resends } from "../retries/resends.ts";
 import type { Candidate } from "../routing/candidate.ts";
 import type { Routing } from "../routing/routing.ts";
--- a/src/rules/change_writes.ts
+++ b/src/rules/change_writes.ts
@@ -1,5 +1,5 @@
 import { canonicalJson } from "../core/canonical_json.ts";
-import type { Write } from "../platform/write.ts";
+import type { Write } from "../store/write.ts";
 import type { Change } from "./change.ts";
 import { ROWS } from "./rows.ts";
 
--- a/src/rules/find_change.ts
+++ b/src/rules/find_change.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import type { ChangeState } from "./change_state.ts";
 import { findSubmission } from "./find_submission.ts";
 import { readPending } from "./read_pending.ts";
--- a/src/rules/find_submission.ts
+++ b/src/rules/find_submission.ts
@@ -1,5 +1,5 @@
 import { parse } from "../core/parse.ts";
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import { invalidRow } from "./invalid_row.ts";
 import { ROWS } from "./rows.ts";
 import type { StoreFault } from "./store_fault.ts";
--- a/src/rules/keep_pending.ts
+++ b/src/rules/keep_pending.ts
@@ -1,7 +1,7 @@
 import type { KeyObject } from "node:crypto";
 import { canonicalJson } from "../core/canonical_json.ts";
-import type { TableService } from "../platform/table_service.ts";
-import type { Write } from "../platform/write.ts";
+import type { TableService } from "../store/table_service.ts";
+import type { Write } from "../store/write.ts";
 import { readPending } from "./read_pending.ts";
 import { ROWS } from "./rows.ts";
 import type { Section } from "./section.ts";
--- a/src/rules/parse_terms.ts
+++ b/src/rules/parse_terms.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import type { Result } from "../core/result.ts";
 import { checkTerms } from "./check_terms.ts";
-import { parseJson } from "./parse_json.ts";
+import { parseJson } from "../core/parse_json.ts";
 import type { Terms } from "./terms.ts";
 
 /**
--- a/src/rules/read_body.ts
+++ b/src/rules/read_body.ts
@@ -1,6 +1,6 @@
 import { sha256 } from "../core/sha256.ts";
-import type { Item } from "../platform/item.ts";
-import type { ObjectStore } from "../platform/object_store.ts";
+import type { Item } from "../store/item.ts";
+import type { ObjectStore } from "../store/object_store.ts";
 import { invalidRow } from "./invalid_row.ts";
 import type { StoreFault } from "./store_fault.ts";
 
--- a/src/rules/read_pending.ts
+++ b/src/rules/read_pending.ts
@@ -1,6 +1,6 @@
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import { invalidRow } from "./invalid_row.ts";
-import { parseJson } from "./parse_json.ts";
+import { parseJson } from "../core/parse_json.ts";
 import { ROWS } from "./rows.ts";
 import { Section } from "./section.ts";
 import type { StoreFault } from "./store_fault.ts";
--- a/src/rules/read_section.ts
+++ b/src/rules/read_section.ts
@@ -1,4 +1,4 @@
-import { parseJson } from "./parse_json.ts";
+import { parseJson } from "../core/parse_json.ts";
 import { readBody } from "./read_body.ts";
 import { invalidRow } from "./invalid_row.ts";
 import { ROWS } from "./rows.ts";
--- a/src/rules/read_snapshot.ts
+++ b/src/rules/read_snapshot.ts
@@ -1,5 +1,5 @@
 import { parse } from "../core/parse.ts";
-import type { Item } from "../platform/item.ts";
+import type { Item } from "../store/item.ts";
 import { ChangeRecord } from "./change_record.ts";
 import { invalidRow } from "./invalid_row.ts";
 import { parseVersions } from "./parse_versions.ts";
--- a/src/rules/submission.ts
+++ b/src/rules/submission.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from "../platform/object_store.ts";
+import type { ObjectStore } from "../store/object_store.ts";
 import type { Section } from "./section.ts";
 
 /** A change that an operator submits. */
--- a/src/rules/submit_change.ts
+++ b/src/rules/submit_change.ts
@@ -1,4 +1,4 @@
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import { createRules } from "./create_rules.ts";
 import type { Submission } from "./submission.ts";
 import type { SubmissionOutcome } from "./submission_outcome.ts";
--- a/src/rules/submit_once.ts
+++ b/src/rules/submit_once.ts
@@ -1,5 +1,5 @@
 import type { Issue } from "../core/issue.ts";
-import type { TableService } from "../platform/table_service.ts";
+import type { TableService } from "../store/table_service.ts";
 import { createChange } from "./create_change.ts";
 import { findSubmission } from "./find_submission.ts";
 import { findWinner } from "./find_winner.ts";
--- a/src/rules/write_body.ts
+++ b/src/rules/write_body.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from "../platform/object_store.ts";
+import type { ObjectStore } from "../store/object_store.ts";
 import { sha256 } from "../core/sha256.ts";
 
 // Rows beyond this size would take more than the table service accepts well.
--- /dev/null
+++ b/src/sidecar/adapter.ts
@@ -0,0 +1,15 @@
+import type { ServerProtocol } from "../backend/server_protocol.ts";
+import type { ClientProtocol } from "../edge/client_protocol.ts";
+import type { RouteTable } from "../routes/route_table.ts";
+import type { Result } from "../core/result.ts";
+import type { RowStore } from "./row_store.ts";
+
+/** What a platform provides for a daemon. */
+export type Adapter = {
+  store: RowStore;
+  clientProtocol: ClientProtocol;
+  serverProtocol: ServerProtocol;
+  /** Table and key of the row that holds the configuration. */
+  configurationRow: { table: string; key: string };
+  readConfiguration(bytes: Uint8Array): Result<RouteTable>;
+};
--- /dev/null
+++ b/src/sidecar/create_bounded_logger.ts
@@ -0,0 +1,44 @@
+import type { Logger } from "../core/logger.ts";
+import type { BoundedLogger } from "./bounded_logger.ts";
+
+// Lines a second by event; failures are kept before successes. Events that
+// aren't named here change what the process believes and are rare.
+const MOST_PER_S: Readonly<Record<string, number>> = {
+  "request-answered": 4,
+  "request-refused": 10,
+  "request-cancelled": 5,
+  "request-unrouted": 5,
+  "client-connection-failed": 2,
+};
+const OTHERS_PER_S = 30;
+const WINDOW_MS = 1_000;
+
+/**
+ * Bounds the lines of each event a second. What is left out is counted, and
+ * said in the first line of the next second.
+ */
+export function createBoundedLogger(
+  write: Logger,
+  steadyTime: () => number,
+): BoundedLogger {
+  let windowStartedAt = steadyTime();
+  const written = new Map<string, number>();
+  const dropped = new Map<string, number>();
+  const flushDropped = () => {
+    windowStartedAt = steadyTime();
+    written.clear();
+    if (dropped.size === 0) return;
+    write("log-dropped", Object.fromEntries(dropped));
+    dropped.clear();
+  };
+  return {
+    flushDropped,
+    log(event, fields) {
+      if (steadyTime() - windowStartedAt >= WINDOW_MS) flushDropped();
+      const count = (written.get(event) ?? 0) + 1;
+      written.set(event, count);
+      if (count <= (MOST_PER_S[event] ?? OTHERS_PER_S)) write(event, fields);
+      else dropped.set(event, (dropped.get(event) ?? 0) + 1);
+    },
+  };
+}
--- /dev/null
+++ b/src/sidecar/self_address.ts
@@ -0,0 +1,2 @@
+/** Stands for this daemon among the addresses of daemons. */
+export const SELF_ADDRESS = "self";
--- /dev/null
+++ b/src/sidecar/service_loads.ts
@@ -0,0 +1,27 @@
+import type { Backend } from "../backend/backend.ts";
+import type { Mesh } from "../mesh/mesh.ts";
+
+/** Returns the mean load of the servers of each service that take work. */
+export function serviceLoads(
+  service: string,
+  backend: Backend,
+  mesh: Mesh,
+): Map<string, number> {
+  const sums = new Map<string, { load: number; servers: number }>();
+  const add = (name: string, load: number) => {
+    const sum = sums.get(name) ?? { load: 0, servers: 0 };
+    sum.load += load;
+    sum.servers++;
+    sums.set(name, sum);
+  };
+  if (backend.available()) add(service, backend.load());
+  for (const { entry, load } of mesh.peers.values()) {
+    if (entry === null || entry.server === null || entry.server.leaving) {
+      continue;
+    }
+    add(entry.service, load);
+  }
+  return new Map(
+    [...sums].map(([name, { load, servers }]) => [name, load / servers]),
+  );
+}
--- /dev/null
+++ b/src/sidecar/start_sidecar.ts
@@ -0,0 +1,268 @@
+import { createServer } from "node:net";
+import type { Socket } from "node:net";
+import { createBackend } from "../backend/create_backend.ts";
+import type { Logger } from "../core/logger.ts";
+import type { Random } from "../core/random.ts";
+import { createCallGraph } from "../costs/create_call_graph.ts";
+import { learnRatios } from "../costs/learn_ratios.ts";
+import { createClientConnections } from "../edge/create_client_connections.ts";
+import { createMesh } from "../mesh/create_mesh.ts";
+import type { Entry } from "../mesh/entry.ts";
+import { createAdmission } from "../origin/create_admission.ts";
+import { createOrigin } from "../origin/create_origin.ts";
+import { putInForce } from "../routes/put_in_force.ts";
+import type { RouteTable } from "../routes/route_table.ts";
+import type { RoutesInForce } from "../routes/routes_in_force.ts";
+import type { Adapter } from "./adapter.ts";
+import { createForwarder } from "./create_forwarder.ts";
+import { delay } from "./delay.ts";
+import { FleetRows, joinFleet } from "./join_fleet.ts";
+import { serviceLoads } from "./service_loads.ts";
+import type { Sidecar } from "./sidecar.ts";
+import type { SidecarSettings } from "./sidecar_settings.ts";
+import { watchTable } from "./watch_table.ts";
+
+// Deadlines are kept to within this time.
+const TICK_MS = 50;
+// Links, ratios and idle connections change slowly.
+const SLOW_TICK_MS = 250;
+// A changed load is told to all other daemons this often while it is high.
+const LOAD_REPORT_MS = 200;
+const HIGH_LOAD = 0.6;
+// Longest time that one call to the store waits for a change.
+const WATCH_MS = 8_000;
+// Before the first configuration, limits that any client stays within.
+const FIRST_LIMITS: RouteTable["limits"] = {
+  headBytes: 16 * 1024,
+  bodyBytes: 64 * 1024 * 1024,
+  headTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+// Clients learn within two readiness checks, two seconds, that this daemon is
+// leaving; until then they still open connections.
+const CLIENTS_LEAVE_MS = 2_500;
+// Other daemons learn it at once; what was under way to here arrives within
+// this time.
+const PEERS_LEAVE_MS = 500;
+// Kept for closing before the process is killed.
+const STOP_MARGIN_MS = 400;
+const STOP_POLL_MS = 50;
+// A departure that the store doesn't take in time is acknowledged all the
+// same: this process keeps to it as long as it lives.
+const DEPARTURE_WRITE_MS = 800;
+// Repeats that one daemon may save up, of the share that it would have of the
+// fleet's slack; the rest is room for daemons that come and go.
+const SLACK_SHARE = 0.5;
+const RATIO_SHARE = 0.5;
+
+/** Starts a daemon beside a backend server. */
+export function startSidecar(
+  { settings, adapter, log, random, steadyTime, metrics }: {
+    settings: SidecarSettings;
+    adapter: Adapter;
+    log: Logger;
+    random: Random;
+    /** Steady time in ms. */
+    steadyTime: () => number;
+    metrics: () => string;
+  },
+): Sidecar {
+  const { name, service, dataCentre, listen } = settings;
+  const { store, configurationRow } = adapter;
+  let routes: RoutesInForce | null = null;
+  let configuration: { version: number; bytes: Uint8Array } | null = null;
+  let stopping = false;
+  let refusing = false;
+
+  const graph = createCallGraph(service, steadyTime());
+  const admission = createAdmission(steadyTime());
+  const backend = createBackend({
+    address: settings.serverAddress,
+    heartbeatMs: settings.heartbeatMs,
+    protocol: adapter.serverProtocol,
+    graph,
+    random,
+    steadyTime,
+    log,
+    onChange: () => mesh.announce(self()),
+  });
+  const self = (): Entry => {
+    const server = backend.registration();
+    return {
+      name,
+      address: listen.mesh,
+      dataCentre,
+      service,
+      routeVersion: configuration?.version ?? 0,
+      alone: mesh === undefined || mesh.peers.size === 0,
+      server: server === null ? null : {
+        id: server.id,
+        slots: server.slots,
+        leaving: stopping || !backend.available(),
+        cold: server.coldUntil > steadyTime(),
+      },
+    };
+  };
+  const take = (bytes: Uint8Array, source: string) => {
+    const parsed = adapter.readConfiguration(bytes);
+    if (!parsed.ok) {
+      const issue = parsed.issues[0]!;
+      log("configuration-unreadable", {
+        source,
+        at: issue.path.join("."),
+        message: issue.message,
+      });
+      return;
+    }
+    const table = parsed.value;
+    const next = putInForce(routes, table, random);
+    if (next === routes) return;
+    routes = next;
+    configuration = { version: table.version, bytes };
+    log("configuration-in-force", {
+      version: table.version,
+      routes: table.routes.length,
+      source,
+    });
+    mesh.share(table.version, bytes);
+  };
+  const [meshHost, meshPort] = listen.mesh.split(":") as [string, string];
+  const mesh = createMesh({
+    host: meshHost,
+    port: Number(meshPort),
+    self,
+    steadyTime,
+    log,
+    configuration: () => configuration,
+    onConfig: (_version, bytes) => take(bytes, "peer"),
+    onSilence: () => store.reconnect(),
+    serve(request, onOutcome) {
+      if (!refusing) return backend.serve(request, onOutcome);
+      onOutcome({ kind: "not-run", reason: "leaving", arrived: false }, {
+        load: backend.load(),
+        costs: null,
+      });
+      return () => {};
+    },
+  });
+  const budget = {
+    ratio: settings.retries.ratio * RATIO_SHARE,
+    most: settings.retries.slack * SLACK_SHARE,
+    left: new Map<string, number>(),
+  };
+  const origin = createOrigin({
+    caller: service,
+    dataCentre,
+    routes: () => routes,
+    forwarder: createForwarder({ service, dataCentre, backend, mesh }),
+    graph,
+    admission,
+    budget,
+    loads: () => serviceLoads(service, backend, mesh),
+    random,
+    steadyTime,
+    log,
+  });
+  const connections = createClientConnections({
+    origin,
+    protocol: adapter.clientProtocol,
+    limits: () => routes?.table.limits ?? FIRST_LIMITS,
+    isNested: (socket) => isOwnVm(socket, settings.ip),
+    steadyTime,
+    log,
+  });
+  const [callsHost, callsPort] = listen.calls.split(":") as [string, string];
+  const server = createServer((socket) => connections.accept(socket));
+  server.on("error", ({ message }) => log("listen-failed", { message }));
+  server.listen({ host: callsHost, port: Number(callsPort), backlog: 1_024 });
+
+  let reportedLoad = 0;
+  setInterval(() => {
+    origin.tick();
+    backend.tick();
+  }, TICK_MS);
+  setInterval(() => {
+    mesh.tick();
+    connections.sweep();
+    learnRatios(graph, steadyTime());
+    const daemons = 1 + mesh.peers.size;
+    budget.most = settings.retries.slack * SLACK_SHARE / daemons;
+  }, SLOW_TICK_MS);
+  setInterval(() => {
+    const load = backend.load();
+    if (load !== reportedLoad && Math.max(load, reportedLoad) > HIGH_LOAD) {
+      mesh.reportLoad(load);
+      reportedLoad = load;
+    }
+  }, LOAD_REPORT_MS);
+
+  void watchTable({
+    store,
+    table: configurationRow.table,
+    waitMs: WATCH_MS,
+    log,
+    onRow({ key, value, removed }) {
+      if (key === configurationRow.key && !removed) take(value, "store");
+    },
+  });
+  void joinFleet({
+    store,
+    name,
+    row: { address: listen.mesh },
+    log,
+    onDaemon: ({ address }) => mesh.meet(address),
+    onDeparture: (departure) => backend.recall(departure),
+  });
+
+  return {
+    ready: () => routes !== null && !stopping,
+    announce: (announcement) => backend.announce(announcement),
+    async depart(departure) {
+      const server = backend.registration();
+      backend.depart(departure);
+      if (server === null || server.id !== departure.id) return;
+      const row = { id: server.id, startedAt: server.startedAt };
+      await Promise.race([
+        store.put(
+          FleetRows.table,
+          FleetRows.departureKey(name),
+          Buffer.from(JSON.stringify(row)),
+        ).catch((fault) =>
+          log("departure-not-stored", {
+            server: row.id,
+            fault: String(fault),
+          })
+        ),
+        delay(DEPARTURE_WRITE_MS),
+      ]);
+    },
+    metrics,
+    async stop() {
+      const startedAt = steadyTime();
+      stopping = true;
+      log("stopping", { open: origin.open(), running: backend.open() });
+      mesh.announce(self());
+      connections.drain();
+      const elapsed = () => steadyTime() - startedAt;
+      const latest = settings.gracePeriodMs - STOP_MARGIN_MS;
+      while (elapsed() < latest) {
+        await delay(STOP_POLL_MS);
+        refusing ||= elapsed() > PEERS_LEAVE_MS;
+        if (elapsed() < CLIENTS_LEAVE_MS) continue;
+        connections.closeIdle();
+        if (origin.open() === 0 && backend.open() === 0) break;
+      }
+      server.close();
+      log("stopped", {
+        ms: Math.round(elapsed()),
+        open: origin.open(),
+        running: backend.open(),
+      });
+    },
+  };
+}
+
+/** Whether the other side of a connection is a process on this VM. */
+function isOwnVm({ remoteAddress }: Socket, ip: string): boolean {
+  return remoteAddress === ip || remoteAddress === "127.0.0.1";
+}
--- a/src/platform/read_outcome.ts
+++ b/src/store/read_outcome.ts
@@ -1,5 +1,5 @@
 import type { z } from "zod";
-import { parseJson } from "./parse_json.ts";
+import { parseJson } from "../core/parse_json.ts";
 import type { Reply } from "./reply.ts";
 
 /** Interprets the reply to a read. Reads change nothing, so any fault is `unavailable`. */
--- a/src/platform/write_outcome.ts
+++ b/src/store/write_outcome.ts
@@ -1,4 +1,4 @@
-import { parseJson } from "./parse_json.ts";
+import { parseJson } from "../core/parse_json.ts";
 import type { Reply } from "./reply.ts";
 import { TableFault } from "./table_fault.ts";
 
--- a/standin/memory_objects.ts
+++ b/standin/memory_objects.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from "../src/platform/object_store.ts";
+import type { ObjectStore } from "../src/store/object_store.ts";
 
 /** An object store in memory that a test can take down. */
 type MemoryObjects = ObjectStore & {
--- a/standin/memory_table.ts
+++ b/standin/memory_table.ts
@@ -1,6 +1,6 @@
-import type { Item } from "../src/platform/item.ts";
-import type { TableService } from "../src/platform/table_service.ts";
-import type { Write } from "../src/platform/write.ts";
+import type { Item } from "../src/store/item.ts";
+import type { TableService } from "../src/store/table_service.ts";
+import type { Write } from "../src/store/write.ts";
 
 /** A table service in memory whose faults a test sets. */
 type MemoryTable = TableService & {
--- a/standin/start_standin.ts
+++ b/standin/start_standin.ts
@@ -5,7 +5,7 @@
 } from "node:http";
 import { performance } from "node:perf_hooks";
 import { setTimeout as delay } from "node:timers/promises";
-import { parseJson } from "../src/platform/parse_json.ts";
+import { parseJson } from "../src/core/parse_json.ts";
 import { accessFault } from "./access_fault.ts";
 import type { Backend } from "./backend.ts";
 import { Control } from "./control.ts";
--- a/standin/table_service.ts
+++ b/standin/table_service.ts
@@ -1,4 +1,4 @@
-import { parseJson } from "../src/platform/parse_json.ts";
+import { parseJson } from "../src/core/parse_json.ts";
 import type { Backend } from "./backend.ts";
 import { Operation } from "./operation.ts";
 import { partitionRows } from "./partition_rows.ts";
--- a/test/submit.ts
+++ b/test/submit.ts
@@ -1,8 +1,8 @@
 import type { Fleet } from "../fleet/fleet.ts";
 import { Ports } from "../fleet/ports.ts";
 import { configuration, parsePrivateKey, signSection } from "../src/library.ts";
-import { createObjectStore } from "../src/platform/create_object_store.ts";
-import { createTableService } from "../src/platform/create_table_service.ts";
+import { createObjectStore } from "../src/store/create_object_store.ts";
+import { createTableService } from "../src/store/create_table_service.ts";
 import type { SubmissionOutcome } from "../src/rules/submission_outcome.ts";
 import { submitChange } from "../src/rules/submit_change.ts";
 
