--- a/src/backend/backend.ts
+++ b/src/backend/backend.ts
@@ -3,6 +3,7 @@
 import type { CallRequest } from "../calls/call_request.ts";
 import type { Announcement } from "./announcement.ts";
 import type { Departure } from "./departure.ts";
+import type { Probe } from "./probe.ts";
 import type { Registration } from "./registration.ts";
 
 /** The backend server beside this daemon, and the only way to it. */
@@ -12,7 +13,11 @@
   available(): boolean;
   /** Running and waiting requests as a share of the limit. */
   load(): number;
+  /** Mean time that a request runs, in ms. */
+  runMs(): number;
   announce(announcement: Announcement): void;
+  /** Takes a healthy server into use that hasn't announced itself yet. */
+  adopt(probe: Probe): void;
   depart(departure: Departure): void;
   /** Applies a departure that was acknowledged before this process started. */
   recall(departure: { id: string; startedAt: number }): void;
--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -7,6 +7,7 @@
 import { costsOf } from "../costs/costs_of.ts";
 import { noteRun } from "../costs/note_run.ts";
 import { noteSlotTime } from "../costs/note_slot_time.ts";
+import { adopt } from "./adopt.ts";
 import type { Backend } from "./backend.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
 import { createGate } from "./create_gate.ts";
@@ -32,6 +33,7 @@
 const OVERDUE_MS = 100;
 // Refused connections in a row after which the server is taken as gone.
 const REFUSED_CONNECTIONS = 3;
+const SERVER_ERROR = 500;
 
 type Run = {
   request: CallRequest;
@@ -104,17 +106,20 @@
       runs.delete(run);
       const now = steadyTime();
       const answered = outcome.kind === "answered";
+      const served = answered && outcome.status < SERVER_ERROR;
       if (answered) {
         refusedConnections = 0;
         if (registration !== null) {
           registration = { ...registration, heardAt: now };
         }
+      }
+      if (served) {
         noteSlotTime(graph, request.route, now - startedAt);
       } else if (outcome.kind === "not-run") {
         if (outcome.reason === "connect-failed") noteRefusedConnection();
         if (outcome.reason === "other-server") noteOtherServer(request);
       }
-      finishJob(gate, answered ? now - startedAt : null, now);
+      finishJob(gate, served ? now - startedAt : null, now);
       if (!run.cancelled) onOutcome(outcome, report(request.route));
     });
     return run;
@@ -136,11 +141,14 @@
     registration: () => registration,
     available,
     load: () => loadOf(gate),
+    runMs: () => Math.round(gate.meanRunMs),
     announce: (announcement) =>
       update(register(registration, announcement, steadyTime())),
     depart: (departure) => update(depart(registration, departure)),
+    adopt: (probe) => update(adopt(registration, probe, steadyTime())),
     recall({ id, startedAt }) {
-      if (registration !== null && registration.startedAt >= startedAt) return;
+      const adopted = registration?.id === id && registration.startedAt === 0;
+      if (registration !== null && !adopted) return;
       const now = steadyTime();
       registration = {
         id,
--- /dev/null
+++ b/src/backend/gate_test.ts
@@ -0,0 +1,117 @@
+import test from "ava";
+import fc from "fast-check";
+import { createGate } from "./create_gate.ts";
+import { expireJobs } from "./expire_jobs.ts";
+import { finishJob } from "./finish_job.ts";
+import type { Job } from "./job.ts";
+import { offerJob } from "./offer_job.ts";
+import { withdrawJob } from "./withdraw_job.ts";
+
+function job(events: string[], name: string, over: Partial<Job> = {}): Job {
+  return {
+    nested: false,
+    rank: 1,
+    expiresAt: 10_000,
+    start: () => events.push(`start ${name}`),
+    refuse: (reason) => events.push(`${reason} ${name}`),
+    ...over,
+  };
+}
+
+test("runs up to the limit, the rest waits", (t) => {
+  const events: string[] = [];
+  const gate = createGate(2);
+  for (const name of ["a", "b", "c"]) offerJob(gate, job(events, name), 0);
+  t.deepEqual(events, ["start a", "start b"]);
+  finishJob(gate, 10, 10);
+  t.deepEqual(events, ["start a", "start b", "start c"]);
+});
+
+test("nested calls pass roots, important roots pass others", (t) => {
+  const events: string[] = [];
+  const gate = createGate(1);
+  offerJob(gate, job(events, "first"), 0);
+  offerJob(gate, job(events, "minor", { rank: 2 }), 0);
+  offerJob(gate, job(events, "major", { rank: 0 }), 0);
+  offerJob(gate, job(events, "nested", { nested: true, rank: 2 }), 0);
+  for (let i = 0; i < 3; i++) finishJob(gate, 10, 10);
+  t.deepEqual(events.slice(1), ["start nested", "start major", "start minor"]);
+});
+
+test("refuses at once what can't finish in time", (t) => {
+  const events: string[] = [];
+  const gate = createGate(1);
+  offerJob(gate, job(events, "a"), 0);
+  offerJob(gate, job(events, "b", { expiresAt: 60 }), 0);
+  t.deepEqual(events, ["start a", "overload b"]);
+});
+
+test("gives up waiting jobs before their time is over", (t) => {
+  const events: string[] = [];
+  const gate = createGate(1);
+  offerJob(gate, job(events, "a"), 0);
+  offerJob(gate, job(events, "b", { expiresAt: 200 }), 0);
+  expireJobs(gate, 160);
+  t.deepEqual(events, ["start a"]);
+  expireJobs(gate, 180);
+  t.deepEqual(events, ["start a", "expired b"]);
+  t.is(gate.waiting, 0);
+});
+
+test("a withdrawn job never starts", (t) => {
+  const events: string[] = [];
+  const gate = createGate(1);
+  offerJob(gate, job(events, "a"), 0);
+  const waiting = job(events, "b");
+  offerJob(gate, waiting, 0);
+  t.true(withdrawJob(gate, waiting));
+  t.false(withdrawJob(gate, waiting));
+  finishJob(gate, 10, 10);
+  t.deepEqual(events, ["start a"]);
+  t.is(gate.running, 0);
+});
+
+test("each job starts or is refused once, within the limit", (t) => {
+  const step = fc.constantFrom("offer", "finish", "expire", "withdraw");
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 4 }),
+      fc.array(fc.tuple(step, fc.nat(3), fc.nat(200)), { maxLength: 80 }),
+      (limit, steps) => {
+        const gate = createGate(limit);
+        const settled = new Map<Job, number>();
+        const offered: Job[] = [];
+        let now = 0;
+        for (const [kind, rank, ms] of steps) {
+          now += ms;
+          if (kind === "offer") {
+            const added: Job = {
+              nested: rank === 3,
+              rank,
+              expiresAt: now + 20 + ms * 5,
+              start: () => settle(added),
+              refuse: () => settle(added),
+            };
+            offered.push(added);
+            offerJob(gate, added, now);
+          } else if (kind === "finish" && gate.running > 0) {
+            finishJob(gate, ms, now);
+          } else if (kind === "expire") expireJobs(gate, now);
+          else if (kind === "withdraw") {
+            const waiting = offered.find((one) => !settled.has(one));
+            if (waiting && withdrawJob(gate, waiting)) settle(waiting);
+          }
+          t.true(gate.running <= limit);
+          t.true([...settled.values()].every((count) => count === 1));
+          t.is(
+            gate.waiting,
+            offered.filter((one) => !settled.has(one)).length,
+          );
+        }
+        function settle(one: Job) {
+          settled.set(one, (settled.get(one) ?? 0) + 1);
+        }
+      },
+    ),
+  );
+});
--- /dev/null
+++ b/src/http1/reader_test.ts
@@ -0,0 +1,186 @@
+import test from "ava";
+import fc from "fast-check";
+import { createServer } from "node:http";
+import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
+import { createMessageReader } from "./create_message_reader.ts";
+import type { Message } from "./message.ts";
+import { parseRequestLine } from "./parse_request_line.ts";
+import { requestFraming } from "./request_framing.ts";
+import { responseFraming } from "./response_framing.ts";
+
+const LIMITS = { headBytes: 1_024, bodyBytes: 4_096 };
+
+function read(chunks: string[], framing = requestFraming, ended = false) {
+  const messages: Message[] = [];
+  const faults: string[] = [];
+  const reader = createMessageReader({
+    framing,
+    limits: () => LIMITS,
+    onMessage: (message) => messages.push(message),
+    onFault: (fault) => faults.push(fault),
+  });
+  for (const chunk of chunks) reader.push(Buffer.from(chunk, "latin1"));
+  if (ended) reader.end();
+  return {
+    faults,
+    partial: reader.partial(),
+    messages: messages.map(({ startLine, body, persistent }) => ({
+      startLine,
+      body: body.toString("latin1"),
+      persistent,
+    })),
+  };
+}
+
+const POST = "POST /a/ HTTP/1.1\r\nHost: a\r\n";
+
+test("reads pipelined requests", (t) => {
+  const text = `${POST}Content-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\n\r\n`;
+  const { messages, faults, partial } = read([text]);
+  t.deepEqual(messages.map(({ body }) => body), ["abc", ""]);
+  t.deepEqual(faults, []);
+  t.is(partial, "none");
+});
+
+test("any chunking reads the same", (t) => {
+  const text = `${POST}Transfer-Encoding: chunked\r\n\r\n` +
+    `4;x=1\r\nabcd\r\n2\r\nef\r\n0\r\nTrailer: x\r\n\r\n` +
+    `${POST}Content-Length: 5\r\nConnection: close\r\n\r\nhello`;
+  const whole = read([text]);
+  t.deepEqual(whole.messages.map(({ body }) => body), ["abcdef", "hello"]);
+  t.deepEqual(whole.messages.map((one) => one.persistent), [true, false]);
+  fc.assert(
+    fc.property(fc.array(fc.nat(text.length)), (cuts) => {
+      const at = [0, ...cuts.sort((a, b) => a - b), text.length];
+      const chunks = at.slice(1).map((end, i) => text.slice(at[i], end))
+        .filter((chunk) => chunk !== "");
+      t.deepEqual(read(chunks), whole);
+    }),
+    { numRuns: 200 },
+  );
+});
+
+const MALFORMED: Record<string, string> = {
+  "two lengths": "Content-Length: 1\r\nContent-Length: 1\r\n\r\na",
+  "length and chunks":
+    "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  "unknown coding": "Transfer-Encoding: gzip, chunked\r\n\r\n",
+  "signed length": "Content-Length: +1\r\n\r\na",
+  "folded line": "X: a\r\n b\r\n\r\n",
+  "space before colon": "X : a\r\n\r\n",
+  "bare line feed": "X: a\nY: b\r\n\r\n",
+  "no name": ": a\r\n\r\n",
+  "null byte": "X: a\0\r\n\r\n",
+  "bad chunk size": "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+  "negative chunk": "Transfer-Encoding: chunked\r\n\r\n-1\r\n",
+  "no line end after chunk":
+    "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n",
+};
+for (const [name, rest] of Object.entries(MALFORMED)) {
+  test(`refuses ${name}`, (t) => {
+    const { messages, faults } = read([
+      `${POST}${rest}GET /x HTTP/1.1\r\n\r\n`,
+    ]);
+    t.deepEqual(faults, ["malformed"]);
+    t.deepEqual(messages, []);
+  });
+}
+
+test("bounds the head", (t) => {
+  t.deepEqual(read([POST + "X: ".padEnd(2_000, "a")]).faults, [
+    "head-too-large",
+  ]);
+});
+
+test("bounds the body", (t) => {
+  t.deepEqual(read([`${POST}Content-Length: 5000\r\n\r\n`]).faults, [
+    "body-too-large",
+  ]);
+  const chunked = `${POST}Transfer-Encoding: chunked\r\n\r\n1388\r\n`;
+  t.deepEqual(read([chunked]).faults, ["body-too-large"]);
+});
+
+test("an orderly end completes a response without a length", (t) => {
+  const text = "HTTP/1.1 200 OK\r\n\r\nabc";
+  t.is(read([text], responseFraming, true).messages[0]!.body, "abc");
+  t.deepEqual(read([text], responseFraming).messages, []);
+});
+
+test("an end doesn't complete a response with a length", (t) => {
+  const text = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc";
+  const { messages, partial } = read([text], responseFraming, true);
+  t.deepEqual(messages, []);
+  t.is(partial, "body");
+});
+
+test("the version in a path is no version", (t) => {
+  const { messages } = read(["GET /HTTP/1.0/ HTTP/1.1\r\nHost: a\r\n\r\n"]);
+  t.true(messages[0]!.persistent);
+});
+
+test("what is accepted, node:http reads the same", async (t) => {
+  const seen: { method: string; url: string; body: string }[] = [];
+  const server = createServer((request, response) => {
+    const { method, url } = request;
+    let body = "";
+    request.setEncoding("latin1");
+    request.on("data", (chunk) => body += chunk);
+    request.on("end", () => {
+      seen.push({ method: method!, url: url!, body });
+      response.end();
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const send = (text: string) =>
+    new Promise<void>((resolve) => {
+      const socket = connect(port, "127.0.0.1");
+      socket.end(Buffer.from(text, "latin1"));
+      socket.on("data", () => {});
+      socket.on("error", () => resolve());
+      socket.on("close", () => resolve());
+    });
+  const line = fc.constantFrom(
+    "Content-Length: 2",
+    "Content-Length: 02",
+    "Content-Length: 0x2",
+    "Content-Length:2 ",
+    "Content-Length: 2, 2",
+    "Transfer-Encoding: chunked",
+    "Transfer-Encoding: Chunked",
+    "Transfer-Encoding: identity",
+    "Transfer-Encoding : chunked",
+    "Connection: close",
+    "X: y",
+    " X: y",
+    "X\t: y",
+    "",
+  );
+  const body = fc.constantFrom("", "ab", "2\r\nab\r\n0\r\n\r\n", "0\r\n\r\n");
+  const requests = fc.tuple(
+    fc.constantFrom("GET", "POST", "G ET"),
+    fc.constantFrom("/a/", "/a/?b=c", "a", "/\x80"),
+    fc.array(line, { maxLength: 3 }),
+    body,
+  );
+  await fc.assert(
+    fc.asyncProperty(requests, async ([method, target, lines, content]) => {
+      const text = [`${method} ${target} HTTP/1.1`, "Host: a", ...lines]
+        .join("\r\n") + "\r\n\r\n" + content;
+      const { messages } = read([text]);
+      const first = messages[0];
+      const parsed = first && parseRequestLine(first.startLine);
+      if (first === undefined || parsed === null) return;
+      seen.length = 0;
+      await send(text);
+      t.deepEqual(seen[0], {
+        method: parsed!.method,
+        url: parsed!.target,
+        body: first.body,
+      });
+    }),
+    { numRuns: 300 },
+  );
+  server.close();
+});
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -32,6 +32,7 @@
     serve,
     configuration,
     onConfig,
+    ownLoad,
     onSilence,
   }: {
     host: string;
@@ -43,6 +44,8 @@
     /** The configuration in force, as the operator wrote it. */
     configuration: () => { version: number; bytes: Uint8Array } | null;
     onConfig: (version: number, bytes: Uint8Array) => void;
+    /** Load and mean run time in ms of the own backend server. */
+    ownLoad: () => [number, number];
     /** A link went silent; other connections may have gone the same way. */
     onSilence: () => void;
   },
@@ -84,6 +87,7 @@
       onConfig,
       onClose: (link) => accepted.delete(link),
       onHello({ link }, entry) {
+        link.send(["load", ...ownLoad()]);
         if (entry.alone) link.send(["peers", [...peers.keys()]]);
         handOver(link, entry);
         const known = peers.get(entry.address);
@@ -101,8 +105,8 @@
     announce(entry) {
       for (const { link } of accepted) link.send(["entry", entry]);
     },
-    reportLoad(load) {
-      for (const { link } of accepted) link.send(["load", load]);
+    reportLoad(load, runMs) {
+      for (const { link } of accepted) link.send(["load", load, runMs]);
     },
     share(version, bytes) {
       for (const { link, entry } of peers.values()) {
--- a/src/mesh/create_peer.ts
+++ b/src/mesh/create_peer.ts
@@ -9,6 +9,7 @@
     connecting: false,
     calls: new Map(),
     load: 0,
+    runMs: 0,
     sentSince: 0,
     downSince: null,
     retryAt: 0,
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -11,8 +11,8 @@
   meet(address: string): void;
   /** Sends this daemon's entry to all that have a link to it. */
   announce(entry: Entry): void;
-  /** Tells all that have a link to this daemon the load of its server. */
-  reportLoad(load: number): void;
+  /** Tells all that have a link to this daemon how its server does. */
+  reportLoad(load: number, runMs: number): void;
   /** Hands a newer configuration to those known to be behind. */
   share(version: number, bytes: Uint8Array): void;
   /**
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -17,8 +17,8 @@
   | ["config", number, Uint8Array]
   | ["ping"]
   | ["pong"]
-  /** Load of the backend server on the accepting side. */
-  | ["load", number]
+  /** Load and mean run time in ms of the accepting side's backend server. */
+  | ["load", number, number]
   | [
     "request",
     number,
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -108,8 +108,9 @@
   pong(peer) {
     peer.pingedAt = null;
   },
-  load(peer, [, load]) {
+  load(peer, [, load, runMs]) {
     peer.load = load;
+    peer.runMs = runMs;
     peer.sentSince = 0;
   },
   answered(peer, [, stream, status, fields, body, load, costs]) {
--- a/src/mesh/peer.ts
+++ b/src/mesh/peer.ts
@@ -14,6 +14,8 @@
   calls: Map<number, (outcome: CallOutcome, report: CallReport | null) => void>;
   /** Load of its backend server as last reported. */
   load: number;
+  /** Mean time that its backend server runs a request, in ms; 0: unknown. */
+  runMs: number;
   /** Calls sent since that report. */
   sentSince: number;
   /** Steady time of the first failure since the link was last up, in ms. */
--- a/src/origin/choose_candidate.ts
+++ b/src/origin/choose_candidate.ts
@@ -7,6 +7,14 @@
 // What a server elsewhere must be less loaded by: going there costs time and
 // bytes between data centres.
 const REMOTE_PENALTY = 0.1;
+// A server elsewhere that is this much faster is worth the way while it has
+// plenty of room.
+const FASTER = 1.5;
+const FASTER_LOAD = 0.6;
+// A server with this many failures more than the best is passed over, but for
+// the share of requests that shows whether it has recovered.
+const FAILING_MORE = 0.25;
+const PROBE_SHARE = 0.03;
 
 /**
  * Chooses a server of the own data centre while one has room, then the less
@@ -18,18 +26,37 @@
   dataCentre: string,
   random: Random,
 ): Candidate | null {
+  const sound = withoutFailing(candidates, random);
   const near: Candidate[] = [];
   const far: Candidate[] = [];
-  for (const candidate of candidates) {
+  for (const candidate of sound) {
     (candidate.dataCentre === dataCentre ? near : far).push(candidate);
   }
   const nearest = betterOfTwo(near, random);
-  if (nearest !== null && nearest.load < SPILL_LOAD) return nearest;
   const other = betterOfTwo(far, random);
   if (nearest === null || other === null) return nearest ?? other;
+  if (nearest.load < SPILL_LOAD) {
+    const faster = other.load < FASTER_LOAD && other.runMs > 0 &&
+      nearest.runMs > FASTER * other.runMs;
+    return faster ? other : nearest;
+  }
   return other.load + REMOTE_PENALTY < nearest.load ? other : nearest;
 }
 
+function withoutFailing(
+  candidates: readonly Candidate[],
+  random: Random,
+): readonly Candidate[] {
+  let least = 1;
+  let most = 0;
+  for (const { failing } of candidates) {
+    least = Math.min(least, failing);
+    most = Math.max(most, failing);
+  }
+  if (most <= least + FAILING_MORE || random() < PROBE_SHARE) return candidates;
+  return candidates.filter(({ failing }) => failing <= least + FAILING_MORE);
+}
+
 function betterOfTwo(
   candidates: readonly Candidate[],
   random: Random,
--- /dev/null
+++ b/src/origin/observation.ts
@@ -0,0 +1,9 @@
+/** Results of requests sent to one server. */
+export type Observation = {
+  /** Server that the results are of. */
+  serverId: string;
+  /** Share of recent requests that failed. */
+  failing: number;
+  /** Steady time of the last result, in ms. */
+  seenAt: number;
+};
--- a/src/sidecar/adapter.ts
+++ b/src/sidecar/adapter.ts
@@ -1,3 +1,4 @@
+import type { Probe } from "../backend/probe.ts";
 import type { ServerProtocol } from "../backend/server_protocol.ts";
 import type { ClientProtocol } from "../edge/client_protocol.ts";
 import type { RouteTable } from "../routes/route_table.ts";
@@ -11,5 +12,7 @@
   serverProtocol: ServerProtocol;
   /** Table and key of the row that holds the configuration. */
   configurationRow: { table: string; key: string };
+  /** Asks a server for its health; null where it isn't healthy. */
+  probe(address: string, healthPath: string): Promise<Probe | null>;
   readConfiguration(bytes: Uint8Array): Result<RouteTable>;
 };
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -29,6 +29,8 @@
 // A changed load is told to all other daemons this often while it is high.
 const LOAD_REPORT_MS = 200;
 const HIGH_LOAD = 0.6;
+// A run time that changes by this share is told as well.
+const RUN_TIME_CHANGE = 0.2;
 // Longest time that one call to the store waits for a change.
 const WATCH_MS = 8_000;
 // Before the first configuration, limits that any client stays within.
@@ -117,6 +119,7 @@
     const table = parsed.value;
     const next = putInForce(routes, table, random);
     if (next === routes) return;
+    const first = routes === null;
     routes = next;
     configuration = { version: table.version, bytes };
     log("configuration-in-force", {
@@ -125,6 +128,15 @@
       source,
     });
     mesh.share(table.version, bytes);
+    if (first) void adoptServer(table);
+  };
+  /** After a restart the server is known sooner than by its next heartbeat. */
+  const adoptServer = async ({ services }: RouteTable) => {
+    const healthPath = services.get(service)?.healthPath;
+    if (healthPath === undefined || backend.registration() !== null) return;
+    const probe = await adapter.probe(settings.serverAddress, healthPath);
+    log("server-probed", { server: probe?.id, healthy: probe !== null });
+    if (probe !== null) backend.adopt(probe);
   };
   const [meshHost, meshPort] = listen.mesh.split(":") as [string, string];
   const mesh = createMesh({
@@ -135,6 +147,7 @@
     log,
     configuration: () => configuration,
     onConfig: (_version, bytes) => take(bytes, "peer"),
+    ownLoad: () => [backend.load(), backend.runMs()],
     onSilence: () => store.reconnect(),
     serve(request, onOutcome) {
       if (!refusing) return backend.serve(request, onOutcome);
@@ -154,7 +167,13 @@
     caller: service,
     dataCentre,
     routes: () => routes,
-    forwarder: createForwarder({ service, dataCentre, backend, mesh }),
+    forwarder: createForwarder({
+      service,
+      dataCentre,
+      backend,
+      mesh,
+      steadyTime,
+    }),
     graph,
     admission,
     budget,
@@ -176,7 +195,7 @@
   server.on("error", ({ message }) => log("listen-failed", { message }));
   server.listen({ host: callsHost, port: Number(callsPort), backlog: 1_024 });
 
-  let reportedLoad = 0;
+  let reported = { load: 0, runMs: 0 };
   setInterval(() => {
     origin.tick();
     backend.tick();
@@ -190,10 +209,14 @@
   }, SLOW_TICK_MS);
   setInterval(() => {
     const load = backend.load();
-    if (load !== reportedLoad && Math.max(load, reportedLoad) > HIGH_LOAD) {
-      mesh.reportLoad(load);
-      reportedLoad = load;
-    }
+    const runMs = backend.runMs();
+    const loaded = load !== reported.load &&
+      Math.max(load, reported.load) > HIGH_LOAD;
+    const changed = Math.abs(runMs - reported.runMs) >
+      RUN_TIME_CHANGE * reported.runMs;
+    if (!loaded && !changed) return;
+    mesh.reportLoad(load, runMs);
+    reported = { load, runMs };
   }, LOAD_REPORT_MS);
 
   void watchTable({
