--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -5,6 +5,8 @@
 import type { Random } from "../core/random.ts";
 import type { CallGraph } from "../costs/call_graph.ts";
 import { costsOf } from "../costs/costs_of.ts";
+import { isRoot } from "../costs/is_root.ts";
+import { noteCaller } from "../costs/note_caller.ts";
 import { noteRun } from "../costs/note_run.ts";
 import { noteSlotTime } from "../costs/note_slot_time.ts";
 import { adopt } from "./adopt.ts";
@@ -27,8 +29,9 @@
 const LIMIT_SHARE = 0.95;
 // A server that has been silent for this many heartbeats has crashed.
 const MISSED_HEARTBEATS = 3;
-// Costs change slowly; this share of the outcomes carries them.
-const COST_REPORT_SHARE = 0.1;
+// What is learned of a route changes slowly; this share of its outcomes
+// carries it.
+const ROUTE_REPORT_SHARE = 0.1;
 // A server stops at the deadline it was given; this is room for its answer.
 const OVERDUE_MS = 100;
 // Refused connections in a row after which the server is taken as gone.
@@ -43,18 +46,29 @@
 
 /** Creates the gate to the backend server at `address`. */
 export function createBackend(
-  { address, heartbeatMs, protocol, graph, random, steadyTime, log, onChange }:
-    {
-      address: string;
-      heartbeatMs: number;
-      protocol: ServerProtocol;
-      graph: CallGraph;
-      random: Random;
-      steadyTime: () => number;
-      log: Logger;
-      /** The server has changed in what other daemons must know. */
-      onChange: () => void;
-    },
+  {
+    address,
+    heartbeatMs,
+    protocol,
+    graph,
+    services,
+    random,
+    steadyTime,
+    log,
+    onChange,
+  }: {
+    address: string;
+    heartbeatMs: number;
+    protocol: ServerProtocol;
+    graph: CallGraph;
+    /** How many services the fleet runs. */
+    services: () => number;
+    random: Random;
+    steadyTime: () => number;
+    log: Logger;
+    /** The server has changed in what other daemons must know. */
+    onChange: () => void;
+  },
 ): Backend {
   let registration: Registration | null = null;
   let refusedConnections = 0;
@@ -68,10 +82,15 @@
     refusedConnections < REFUSED_CONNECTIONS;
   const available = () =>
     registration !== null && !registration.leaving && alive(steadyTime());
-  const report = (route: string): CallReport => ({
-    load: loadOf(gate),
-    costs: random() < COST_REPORT_SHARE ? costsOf(graph, route) : null,
-  });
+  const report = (route: string): CallReport => {
+    const root = random() < ROUTE_REPORT_SHARE
+      ? isRoot(graph, route, services())
+      : undefined;
+    return {
+      load: loadOf(gate),
+      route: root === undefined ? null : { costs: costsOf(graph, route), root },
+    };
+  };
 
   const update = (next: Registration | null) => {
     const before = registration;
@@ -167,10 +186,11 @@
       ) => {
         onOutcome(
           { kind: "not-run", reason, arrived: false },
-          { load: loadOf(gate), costs: null },
+          { load: loadOf(gate), route: null },
         );
         return () => {};
       };
+      noteCaller(graph, request.route, request.caller);
       if (registration === null) return refuse("no-server");
       if (registration.id !== request.serverId) return refuse("other-server");
       if (registration.leaving) return refuse("leaving");
@@ -192,7 +212,7 @@
         refuse: (reason, waitMs) =>
           onOutcome(
             { kind: "not-run", reason, waitMs, arrived: false },
-            { load: loadOf(gate), costs: null },
+            { load: loadOf(gate), route: null },
           ),
       };
       offerJob(gate, job, steadyTime());
--- a/src/costs/call_graph.ts
+++ b/src/costs/call_graph.ts
@@ -15,6 +15,12 @@
   slotMs: Map<string, number>;
   /** Cost of one call as its callee reported it, by route. */
   callees: Map<string, readonly ServiceCost[]>;
+  /** Requests received, by route and by the service where they began. */
+  callers: Map<string, Map<string, number>>;
+  /** Whether clients send the requests of a route, as its servers report. */
+  roots: Map<string, boolean>;
   /** Steady time at which the window began, in ms. */
   windowStartedAt: number;
+  /** Steady time at which the counts of callers were halved, in ms. */
+  fadedAt: number;
 };
--- a/src/costs/create_call_graph.ts
+++ b/src/costs/create_call_graph.ts
@@ -9,6 +9,9 @@
     ratios: new Map(),
     slotMs: new Map(),
     callees: new Map(),
+    callers: new Map(),
+    roots: new Map(),
     windowStartedAt: now,
+    fadedAt: now,
   };
 }
--- /dev/null
+++ b/src/costs/is_root_test.ts
@@ -0,0 +1,44 @@
+import test from "ava";
+import { createCallGraph } from "./create_call_graph.ts";
+import { fadeCallers } from "./fade_callers.ts";
+import { isRoot } from "./is_root.ts";
+import { noteCaller } from "./note_caller.ts";
+
+const SERVICES = 4;
+
+function called(callers: Record<string, number>) {
+  const graph = createCallGraph("s", 0);
+  for (const [caller, count] of Object.entries(callers)) {
+    for (let i = 0; i < count; i++) noteCaller(graph, "r", caller);
+  }
+  return graph;
+}
+
+test("a route requested beside all services is a root", (t) => {
+  const graph = called({ a: 10, b: 12, c: 9, d: 11 });
+  t.true(isRoot(graph, "r", SERVICES));
+});
+
+test("a route called by two services is nested", (t) => {
+  t.false(isRoot(called({ a: 90, b: 30, c: 1 }), "r", SERVICES));
+});
+
+test("a few requests don't tell", (t) => {
+  t.is(isRoot(called({ a: 3, b: 2 }), "r", SERVICES), undefined);
+  t.is(isRoot(called({}), "r", SERVICES), undefined);
+});
+
+test("in a fleet of two services, both must be callers", (t) => {
+  t.true(isRoot(called({ a: 10, b: 10 }), "r", 2));
+  t.false(isRoot(called({ a: 20 }), "r", 2));
+});
+
+test("old callers fade", (t) => {
+  const graph = called({ a: 40, b: 40, c: 10 });
+  t.true(isRoot(graph, "r", SERVICES));
+  for (let round = 1; round <= 5; round++) {
+    fadeCallers(graph, round * 5_000);
+    for (let i = 0; i < 40; i++) noteCaller(graph, "r", "a");
+  }
+  t.false(isRoot(graph, "r", SERVICES));
+});
--- /dev/null
+++ b/src/costs/note_caller.ts
@@ -0,0 +1,12 @@
+import type { CallGraph } from "./call_graph.ts";
+
+/** Counts a request by the service of the VM where it began. */
+export function noteCaller(
+  { callers }: CallGraph,
+  route: string,
+  caller: string,
+): void {
+  let counts = callers.get(route);
+  if (counts === undefined) callers.set(route, counts = new Map());
+  counts.set(caller, (counts.get(caller) ?? 0) + 1);
+}
--- a/src/edge/client_protocol.ts
+++ b/src/edge/client_protocol.ts
@@ -6,7 +6,7 @@
 /** How requests of clients and the replies to them are spelled. */
 export type ClientProtocol = {
   /** Returns null where the message isn't a proper request. */
-  readRequest(message: Message, nested: boolean): OriginRequest | null;
+  readRequest(message: Message): OriginRequest | null;
   /** Writes the head of a reply and returns it with the body. */
   formatReply(
     reply: Reply,
--- a/src/edge/create_client_connections.ts
+++ b/src/edge/create_client_connections.ts
@@ -38,12 +38,10 @@
 
 /** Serves clients: any number of requests a connection, replies in order. */
 export function createClientConnections(
-  { origin, protocol, limits, isNested, steadyTime, log }: {
+  { origin, protocol, limits, steadyTime, log }: {
     origin: Origin;
     protocol: ClientProtocol;
     limits: () => Limits;
-    /** Whether the other side is the backend server of this VM. */
-    isNested: (socket: Socket) => boolean;
     steadyTime: () => number;
     log: Logger;
   },
@@ -52,7 +50,6 @@
   let draining = false;
 
   function accept(socket: Socket): void {
-    const nested = isNested(socket);
     const client: Client = {
       slots: [],
       activeAt: steadyTime(),
@@ -109,7 +106,7 @@
       },
       onMessage(message) {
         if (!reading) return;
-        const request = protocol.readRequest(message, nested);
+        const request = protocol.readRequest(message);
         if (request === null) {
           reject("malformed");
           return;
--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -3,7 +3,6 @@
 import type { CallReport } from "../calls/call_report.ts";
 import type { CallRequest } from "../calls/call_request.ts";
 import type { Logger } from "../core/logger.ts";
-import { costTuples } from "./cost_tuples.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
 import type { Link } from "./link.ts";
@@ -122,14 +121,14 @@
     report: CallReport,
   ) => Message;
 } = {
-  answered: (stream, { status, fields, body }, { load, costs }) => [
+  answered: (stream, { status, fields, body }, { load, route }) => [
     "answered",
     stream,
     status,
     fields as string[],
     body,
     load,
-    costTuples(costs),
+    route,
   ],
   "not-run": (stream, { reason, waitMs = 0, arrived }, { load }) => [
     "not-run",
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,4 +1,5 @@
 import type { CallRequest } from "../calls/call_request.ts";
+import type { RouteReport } from "../calls/route_report.ts";
 import type { Entry } from "./entry.ts";
 
 /**
@@ -27,7 +28,7 @@
     Uint8Array,
   ]
   | ["cancel", number]
-  /** Stream, status, fields, body, load, costs as service and slot time. */
+  /** Stream, status, fields, body, load, report on the route. */
   | [
     "answered",
     number,
@@ -35,7 +36,7 @@
     string[],
     Uint8Array,
     number,
-    [string, number][] | null,
+    RouteReport | null,
   ]
   /** Stream, reason, time until room is expected, arrived, load. */
   | ["not-run", number, string, number, boolean, number]
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -1,6 +1,6 @@
 import { connect } from "node:net";
 import type { CallOutcome } from "../calls/call_outcome.ts";
-import type { CallReport } from "../calls/call_report.ts";
+import type { RouteReport } from "../calls/route_report.ts";
 import type { Logger } from "../core/logger.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
@@ -113,13 +113,13 @@
     peer.runMs = runMs;
     peer.sentSince = 0;
   },
-  answered(peer, [, stream, status, fields, body, load, costs]) {
+  answered(peer, [, stream, status, fields, body, load, route]) {
     settle(peer, stream, load, {
       kind: "answered",
       status,
       fields,
       body: asBuffer(body),
-    }, costs);
+    }, route);
   },
   "not-run"(peer, [, stream, reason, waitMs, arrived, load]) {
     settle(peer, stream, load, {
@@ -142,7 +142,7 @@
   stream: number,
   load: number,
   outcome: CallOutcome,
-  costs: [string, number][] | null,
+  route: RouteReport | null,
 ): void {
   peer.load = load;
   peer.sentSince = 0;
@@ -150,11 +150,7 @@
   // The outcome of a cancelled call can cross its cancellation.
   if (onOutcome === undefined) return;
   peer.calls.delete(stream);
-  const report: CallReport = {
-    load,
-    costs: costs?.map(([service, slotMs]) => ({ service, slotMs })) ?? null,
-  };
-  onOutcome(outcome, report);
+  onOutcome(outcome, { load, route });
 }
 
 function asBuffer(bytes: Uint8Array): Buffer {
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -4,6 +4,9 @@
 import type { Random } from "../core/random.ts";
 import type { CallGraph } from "../costs/call_graph.ts";
 import { noteCall } from "../costs/note_call.ts";
+import { count } from "../metrics/count.ts";
+import type { Metrics } from "../metrics/metrics.ts";
+import { record } from "../metrics/record.ts";
 import { choosePart } from "../routes/choose_part.ts";
 import { findRoute } from "../routes/find_route.ts";
 import type { RoutesInForce } from "../routes/routes_in_force.ts";
@@ -46,6 +49,7 @@
     random,
     steadyTime,
     log,
+    metrics,
   }: {
     /** Service that runs on this VM. */
     caller: string;
@@ -60,27 +64,32 @@
     random: Random;
     steadyTime: () => number;
     log: Logger;
+    metrics: Metrics;
   },
 ): Origin {
   const open = new Set<OpenCall>();
 
   const reply = (call: OpenCall, answer: Reply) => {
     if (!open.delete(call)) return;
-    logReply(call, answer);
+    const ms = steadyTime() - call.startedAt;
+    const from = call.root === false ? "server" : "client";
+    count(metrics, "requests", { from, outcome: answer.kind });
+    record(metrics, "request_ms", { from }, ms);
+    logReply(call, answer, ms);
     call.onReply(answer);
   };
-  const logReply = (call: OpenCall, answer: Reply) => {
-    const { request, route, service, target, startedAt, attempts } = call;
+  const logReply = (call: OpenCall, answer: Reply, ms: number) => {
+    const { request, route, service, target, attempts } = call;
     log(EVENTS[answer.kind], {
       id: request.id,
       route: route.name,
-      nested: request.nested,
+      nested: call.root === false,
       service,
       server: target?.serverId,
       load: target?.load,
       attempts,
       turnedAway: call.refusedBy.size,
-      ms: Math.round(steadyTime() - startedAt),
+      ms: Math.round(ms),
       version: routes()?.table.version,
       status: answer.kind === "answer" ? answer.status : undefined,
       reason: "reason" in answer ? answer.reason : undefined,
@@ -126,7 +135,7 @@
       route: route.name,
       serverId: target.serverId,
       caller,
-      nested: request.nested,
+      nested: call.root !== true,
       rank: route.rank,
       repeatable: route.repeatable,
       expiresAt: call.expiresAt,
@@ -137,11 +146,13 @@
     });
   };
 
-  const learn = ({ request, route }: OpenCall, report: CallReport | null) => {
-    const costs = report?.costs ?? null;
-    if (costs === null) return;
-    if (request.nested) graph.callees.set(route.name, costs);
-    else noteRoot(admission, route.name, route.rank, costs, steadyTime());
+  const learn = ({ route }: OpenCall, report: CallReport | null) => {
+    const learned = report?.route ?? null;
+    if (learned === null) return;
+    const { costs, root } = learned;
+    graph.roots.set(route.name, root);
+    if (root) noteRoot(admission, route.name, route.rank, costs, steadyTime());
+    else graph.callees.set(route.name, costs);
   };
 
   const fail = (call: OpenCall, reason: string, expired: boolean) =>
@@ -222,6 +233,7 @@
         request,
         route,
         service,
+        root: graph.roots.get(route.name),
         startedAt: now,
         expiresAt: now + Math.min(waitsMs, route.timeoutMs),
         clientLeavesAt: now + waitsMs,
@@ -234,8 +246,8 @@
       };
       open.add(call);
       earnRetry(budget, service);
-      if (request.nested) noteCall(graph, route.name);
-      else {
+      if (call.root === false) noteCall(graph, route.name);
+      else if (call.root === true) {
         noteRoot(admission, route.name, route.rank, null, now);
         const { share, service: binding } = refusedShare(admission, route.name);
         if (share > 0 && random() < share) {
--- a/src/origin/open_call.ts
+++ b/src/origin/open_call.ts
@@ -8,6 +8,8 @@
   request: OriginRequest;
   route: Route;
   service: string;
+  /** Whether a client sent it rather than a server; undefined if unknown. */
+  root: boolean | undefined;
   /** Steady times in ms: its start, when it is given up, when the client is. */
   startedAt: number;
   expiresAt: number;
--- a/src/origin/origin_request.ts
+++ b/src/origin/origin_request.ts
@@ -11,6 +11,4 @@
   body: Buffer;
   /** How long the client waits, in ms; null where it doesn't say. */
   deadlineMs: number | null;
-  /** Whether the own backend server sent it while it ran another request. */
-  nested: boolean;
 };
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -1,14 +1,17 @@
 import { createServer } from "node:net";
-import type { Socket } from "node:net";
 import { createBackend } from "../backend/create_backend.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createCallGraph } from "../costs/create_call_graph.ts";
+import { fadeCallers } from "../costs/fade_callers.ts";
 import { learnRatios } from "../costs/learn_ratios.ts";
 import { createClientConnections } from "../edge/create_client_connections.ts";
 import { createMesh } from "../mesh/create_mesh.ts";
 import type { Entry } from "../mesh/entry.ts";
 import { createAdmission } from "../origin/create_admission.ts";
+import { createMetrics } from "../metrics/create_metrics.ts";
+import { formatPrometheus } from "../metrics/format_prometheus.ts";
+import { takeSnapshot } from "../metrics/take_snapshot.ts";
 import { createOrigin } from "../origin/create_origin.ts";
 import { putInForce } from "../routes/put_in_force.ts";
 import type { RouteTable } from "../routes/route_table.ts";
@@ -59,14 +62,13 @@
 
 /** Starts a daemon beside a backend server. */
 export function startSidecar(
-  { settings, adapter, log, random, steadyTime, metrics }: {
+  { settings, adapter, log, random, steadyTime }: {
     settings: SidecarSettings;
     adapter: Adapter;
     log: Logger;
     random: Random;
     /** Steady time in ms. */
     steadyTime: () => number;
-    metrics: () => string;
   },
 ): Sidecar {
   const { name, service, dataCentre, listen } = settings;
@@ -76,6 +78,7 @@
   let stopping = false;
   let refusing = false;
 
+  const metrics = createMetrics();
   const graph = createCallGraph(service, steadyTime());
   const admission = createAdmission(steadyTime());
   const backend = createBackend({
@@ -83,6 +86,13 @@
     heartbeatMs: settings.heartbeatMs,
     protocol: adapter.serverProtocol,
     graph,
+    services: () =>
+      new Set([
+        service,
+        ...[...mesh.peers.values()].flatMap(({ entry }) =>
+          entry?.service ?? []
+        ),
+      ]).size,
     random,
     steadyTime,
     log,
@@ -153,7 +163,7 @@
       if (!refusing) return backend.serve(request, onOutcome);
       onOutcome({ kind: "not-run", reason: "leaving", arrived: false }, {
         load: backend.load(),
-        costs: null,
+        route: null,
       });
       return () => {};
     },
@@ -181,12 +191,12 @@
     random,
     steadyTime,
     log,
+    metrics,
   });
   const connections = createClientConnections({
     origin,
     protocol: adapter.clientProtocol,
     limits: () => routes?.table.limits ?? FIRST_LIMITS,
-    isNested: (socket) => isOwnVm(socket, settings.ip),
     steadyTime,
     log,
   });
@@ -204,6 +214,7 @@
     mesh.tick();
     connections.sweep();
     learnRatios(graph, steadyTime());
+    fadeCallers(graph, steadyTime());
     const daemons = 1 + mesh.peers.size;
     budget.most = settings.retries.slack * SLACK_SHARE / daemons;
   }, SLOW_TICK_MS);
@@ -259,7 +270,7 @@
         delay(DEPARTURE_WRITE_MS),
       ]);
     },
-    metrics,
+    metrics: () => formatPrometheus(takeSnapshot(metrics)),
     async stop() {
       const startedAt = steadyTime();
       stopping = true;
@@ -284,8 +295,3 @@
     },
   };
 }
-
-/** Whether the other side of a connection is a process on this VM. */
-function isOwnVm({ remoteAddress }: Socket, ip: string): boolean {
-  return remoteAddress === ip || remoteAddress === "127.0.0.1";
-}
