Add a stand-in of the platform and process tests; hold back a server that may have left

A daemon that restarts could use a server whose departure it had acknowledged in its earlier life, until its rows were read; the process test showed one such run. The gate now opens once the rows were read, or after one second without the store.

--- a/src/backend/backend.ts
+++ b/src/backend/backend.ts
@@ -19,6 +19,11 @@
   /** Takes a healthy server into use that hasn't announced itself yet. */
   adopt(probe: Probe): void;
   depart(departure: Departure): void;
+  /**
+   * Opens the gate. Until then the server is taken as unavailable: it may have
+   * left before this process started.
+   */
+  open(): void;
   /** Applies a departure that was acknowledged before this process started. */
   recall(departure: { id: string; startedAt: number }): void;
   /**
@@ -32,6 +37,5 @@
   /** Ends what ran out of time, and closes connections idle for long. */
   tick(): void;
   /** Requests that run or wait. */
-  open(): number;
-  close(): void;
+  inFlight(): number;
 };
--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -19,6 +19,7 @@
 import type { Job } from "./job.ts";
 import { loadOf } from "./load_of.ts";
 import { offerJob } from "./offer_job.ts";
+import { recall } from "./recall.ts";
 import { register } from "./register.ts";
 import type { Registration } from "./registration.ts";
 import type { ServerConnection } from "./server_connection.ts";
@@ -71,6 +72,7 @@
   },
 ): Backend {
   let registration: Registration | null = null;
+  let opened = false;
   let refusedConnections = 0;
   const gate = createGate(1);
   const runs = new Set<Run>();
@@ -81,7 +83,8 @@
     now - registration.heardAt < MISSED_HEARTBEATS * heartbeatMs &&
     refusedConnections < REFUSED_CONNECTIONS;
   const available = () =>
-    registration !== null && !registration.leaving && alive(steadyTime());
+    opened && registration !== null && !registration.leaving &&
+    alive(steadyTime());
   const report = (route: string): CallReport => {
     const root = random() < ROUTE_REPORT_SHARE
       ? isRoot(graph, route, services())
@@ -165,20 +168,17 @@
       update(register(registration, announcement, steadyTime())),
     depart: (departure) => update(depart(registration, departure)),
     adopt: (probe) => update(adopt(registration, probe, steadyTime())),
-    recall({ id, startedAt }) {
-      const adopted = registration?.id === id && registration.startedAt === 0;
-      if (registration !== null && !adopted) return;
+    open() {
+      if (opened) return;
+      opened = true;
+      onChange();
+    },
+    recall(departure) {
       const now = steadyTime();
-      registration = {
-        id,
-        startedAt,
-        sequence: 0,
-        slots: 1,
-        leaving: true,
-        departed: true,
-        coldUntil: now,
-        heardAt: now,
-      };
+      // Without a start of its own, an adopted server is the one that left.
+      const adopted = registration?.id === departure.id &&
+        registration.startedAt < departure.startedAt;
+      update(recall(adopted ? null : registration, departure, now));
     },
     serve(request, onOutcome) {
       const refuse = (
@@ -194,7 +194,7 @@
       if (registration === null) return refuse("no-server");
       if (registration.id !== request.serverId) return refuse("other-server");
       if (registration.leaving) return refuse("leaving");
-      if (!alive(steadyTime())) return refuse("no-server");
+      if (!opened || !alive(steadyTime())) return refuse("no-server");
       let run: Run | null = null;
       const job: Job = {
         nested: request.nested,
@@ -233,8 +233,7 @@
       }
       pool.sweep(now);
     },
-    open: () => gate.running + gate.waiting,
-    close: () => pool.clear(),
+    inFlight: () => gate.running + gate.waiting,
   };
 }
 
--- a/src/backend/register_test.ts
+++ b/src/backend/register_test.ts
@@ -2,6 +2,7 @@
 import { adopt } from "./adopt.ts";
 import type { Announcement } from "./announcement.ts";
 import { depart } from "./depart.ts";
+import { recall } from "./recall.ts";
 import { register } from "./register.ts";
 
 const BEAT: Announcement = {
@@ -49,6 +50,18 @@
   t.is(depart(first, { id: "a", startedAt: 900 }), first);
 });
 
+test("a departure from before the start holds, also after a heartbeat", (t) => {
+  const row = { id: "a", startedAt: 1_000 };
+  for (const known of [null, first]) {
+    const gone = recall(known, row, 1)!;
+    t.true(gone.leaving);
+    t.is(register(gone, { ...BEAT, sequence: 9 }, 2), gone);
+    t.false(register(gone, { ...BEAT, startedAt: 2_000 }, 2).leaving);
+  }
+  const reborn = register(null, { ...BEAT, startedAt: 2_000 }, 0);
+  t.is(recall(reborn, row, 1), reborn);
+});
+
 test("a probe adopts a server only where none is known", (t) => {
   t.is(adopt(first, { id: "b", slots: 3 }, 0), first);
   const adopted = adopt(null, { id: "a", slots: 3 }, 0);
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -43,6 +43,8 @@
   headTimeoutMs: 5_000,
   idleTimeoutMs: 15_000,
 };
+// Without the store, the server goes into use after this time.
+const JOIN_MS = 1_000;
 // Clients learn within two readiness checks, two seconds, that this daemon is
 // leaving; until then they still open connections.
 const CLIENTS_LEAVE_MS = 2_500;
@@ -239,7 +241,8 @@
       if (key === configurationRow.key && !removed) take(value, "store");
     },
   });
-  void joinFleet({
+  setTimeout(backend.open, JOIN_MS);
+  const joined = joinFleet({
     store,
     name,
     row: { address: listen.mesh },
@@ -247,6 +250,7 @@
     onDaemon: ({ address }) => mesh.meet(address),
     onDeparture: (departure) => backend.recall(departure),
   });
+  void joined.then(backend.open);
 
   return {
     ready: () => routes !== null && !stopping,
@@ -274,7 +278,7 @@
     async stop() {
       const startedAt = steadyTime();
       stopping = true;
-      log("stopping", { open: origin.open(), running: backend.open() });
+      log("stopping", { open: origin.open(), running: backend.inFlight() });
       mesh.announce(self());
       connections.drain();
       const elapsed = () => steadyTime() - startedAt;
@@ -284,13 +288,13 @@
         refusing ||= elapsed() > PEERS_LEAVE_MS;
         if (elapsed() < CLIENTS_LEAVE_MS) continue;
         connections.closeIdle();
-        if (origin.open() === 0 && backend.open() === 0) break;
+        if (origin.open() === 0 && backend.inFlight() === 0) break;
       }
       server.close();
       log("stopped", {
         ms: Math.round(elapsed()),
         open: origin.open(),
-        running: backend.open(),
+        running: backend.inFlight(),
       });
     },
   };
--- /dev/null
+++ b/test/platform_test.ts
@@ -0,0 +1,236 @@
+import test from "ava";
+import { once } from "node:events";
+import { get } from "node:http";
+import { ask } from "../platform/standin/ask.ts";
+import type { Answer } from "../platform/standin/ask.ts";
+import type { Site, Vm } from "../platform/standin/site.ts";
+import { startSite } from "../platform/standin/start_site.ts";
+import { until } from "./until.ts";
+
+const VMS = [
+  { zone: "a", service: "front" },
+  { zone: "a", service: "deep" },
+  { zone: "b", service: "front" },
+  { zone: "b", service: "deep" },
+];
+// Each test runs its site in a loopback network of its own.
+let net = 40;
+
+async function withSite(run: (site: Site) => Promise<void>): Promise<void> {
+  const site = await startSite({ net: net++, vms: VMS });
+  try {
+    site.configure(1);
+    await until(
+      "all serve",
+      async () => (await Promise.all(site.vms.map(serves))).every(Boolean),
+    );
+    await run(site);
+  } finally {
+    await site.stop();
+  }
+}
+
+/** Whether the daemon of a VM is ready and reaches both services. */
+async function serves({ ip }: Vm): Promise<boolean> {
+  const ready = await new Promise((resolve) => {
+    get(
+      { host: ip, port: 8302, path: "/readiness", agent: false },
+      (response) => {
+        response.resume();
+        resolve(response.statusCode === 200);
+      },
+    ).on("error", () => resolve(false));
+  });
+  if (!ready) return false;
+  const answers = await Promise.all([
+    ask(ip, "front.example", "/safe/"),
+    ask(ip, "deep.example", "/safe/"),
+  ]);
+  return answers.every(({ status }) => status === 200);
+}
+
+const whole = ({ id, status, body }: Answer, service: string) =>
+  status === 200 && body.startsWith(`${id} ${service} `);
+const runsOf = ({ vms }: Site, id: string) =>
+  vms.reduce((sum, { app }) => sum + (app.runs.get(id) ?? 0), 0);
+
+test("every VM serves both services, nested calls included", async (t) => {
+  await withSite(async ({ vms }) => {
+    for (const { ip } of vms) {
+      const answers = await Promise.all(
+        Array.from(
+          { length: 20 },
+          () =>
+            ask(ip, "front.example", "/safe/?call=deep.example/safe/", {
+              method: "POST",
+              body: "x".repeat(2_000),
+            }),
+        ),
+      );
+      t.true(answers.every((answer) => whole(answer, "front")));
+      t.true(answers.every(({ body }) => body.endsWith("x".repeat(2_000))));
+    }
+    const deep = vms.find(({ app }) => app.service === "deep")!;
+    t.is(deep.app.lastHeaders["caller-service"], "front");
+  });
+});
+
+test("a caller can't set the caller's service or the target", async (t) => {
+  await withSite(async ({ vms }) => {
+    const answer = await ask(vms[0]!.ip, "front.example", "/safe/", {
+      headers: { "Caller-Service": "deep", "Target-Instance": "i-none" },
+    });
+    t.is(answer.status, 200);
+    const seen = vms.map(({ app }) => app.lastHeaders["caller-service"]);
+    t.false(seen.includes("deep, front"));
+    t.true(vms[0]!.app.lastHeaders["caller-service"] === "front");
+  });
+});
+
+test("a request without a route gets 404, and none is run", async (t) => {
+  await withSite(async ({ vms }) => {
+    const ip = vms[0]!.ip;
+    t.is((await ask(ip, "front.example", "/none/")).status, 404);
+    t.is((await ask(ip, "other.example", "/safe/")).status, 404);
+  });
+});
+
+test("spoiled answers of a server never reach a caller", async (t) => {
+  await withSite(async (site) => {
+    const ip = site.vms[0]!.ip;
+    for (const fault of ["extra", "cut", "unframed", "lost"] as const) {
+      site.vms[0]!.app.fault = fault;
+      for (let i = 0; i < 10; i++) {
+        const answer = await ask(ip, "front.example", "/safe/");
+        t.true(whole(answer, "front") || answer.status >= 500, fault);
+      }
+    }
+  });
+});
+
+test("a request that may run once never runs twice", async (t) => {
+  await withSite(async (site) => {
+    const ip = site.vms[0]!.ip;
+    for (const fault of ["lost", "cut", "extra", "shedding"] as const) {
+      for (const { app } of site.vms) app.fault = fault;
+      const answers = await Promise.all(
+        Array.from(
+          { length: 10 },
+          () =>
+            ask(ip, "front.example", "/once/", { method: "POST", body: "a" }),
+        ),
+      );
+      for (const { id, status } of answers) {
+        t.true(runsOf(site, id) <= 1, fault);
+        if (status === 503) t.is(runsOf(site, id), 0, fault);
+      }
+    }
+  });
+});
+
+test("a newer configuration takes force, an older one doesn't", async (t) => {
+  await withSite(async (site) => {
+    const ip = site.vms[0]!.ip;
+    site.configure(9, { listeners: [] });
+    await until(
+      "takes force",
+      async () => (await ask(ip, "front.example", "/safe/")).status === 404,
+    );
+    site.configure(8);
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    t.is((await ask(ip, "front.example", "/safe/")).status, 404);
+  });
+});
+
+test("a leaving server gets no new work once that is acknowledged", async (t) => {
+  await withSite(async (site) => {
+    const [vm] = site.vms;
+    t.is(await vm!.app.beat("draining"), 200);
+    const before = vm!.app.runs.size;
+    const answers = await Promise.all(
+      site.vms.map(({ ip }) => ask(ip, "front.example", "/safe/")),
+    );
+    t.true(answers.every((answer) => whole(answer, "front")));
+    t.is(vm!.app.runs.size, before);
+  });
+});
+
+test("a departure outlasts the daemon that acknowledged it", async (t) => {
+  await withSite(async (site) => {
+    const vm = site.vms[0]!;
+    t.is(await vm.app.deregister(), 200);
+    vm.daemon.kill("SIGKILL");
+    await once(vm.daemon, "exit");
+    vm.restart();
+    await until("serves", () => serves(vm));
+    const before = vm.app.runs.size;
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    t.true(whole(await ask(vm.ip, "front.example", "/safe/"), "front"));
+    t.is(vm.app.runs.size, before);
+  });
+});
+
+test("a daemon restarted without the store serves by what peers tell", async (t) => {
+  await withSite(async (site) => {
+    const vm = site.vms[0]!;
+    site.store.fault = "busy";
+    vm.daemon.kill("SIGKILL");
+    await once(vm.daemon, "exit");
+    vm.restart();
+    await until("serves", () => serves(vm));
+    t.true(whole(await ask(vm.ip, "deep.example", "/safe/"), "deep"));
+  });
+});
+
+test("a planned stop of a daemon cuts off no request", async (t) => {
+  await withSite(async (site) => {
+    const vm = site.vms[0]!;
+    for (const { app } of site.vms) app.workMs = 300;
+    const asked = site.vms.flatMap(({ ip }) =>
+      Array.from({ length: 5 }, () => ask(ip, "front.example", "/once/"))
+    );
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    vm.daemon.kill("SIGTERM");
+    const answers = await Promise.all(asked);
+    t.true(answers.every((answer) => whole(answer, "front")));
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    const later = await Promise.all(
+      site.vms.slice(1).map(({ ip }) => ask(ip, "front.example", "/safe/")),
+    );
+    t.true(later.every((answer) => whole(answer, "front")));
+    await once(vm.daemon, "exit");
+    t.is(vm.daemon.exitCode, 0);
+  });
+});
+
+test("while the store is away, everything known goes on", async (t) => {
+  await withSite(async (site) => {
+    for (const fault of ["busy", "silent"] as const) {
+      site.store.fault = fault;
+      const answers = await Promise.all(
+        site.vms.map(({ ip }) => ask(ip, "deep.example", "/safe/")),
+      );
+      t.true(answers.every((answer) => whole(answer, "deep")));
+    }
+    site.store.fault = "none";
+    site.configure(5, { listeners: [] });
+    await until(
+      "takes force",
+      async () =>
+        (await ask(site.vms[0]!.ip, "front.example", "/safe/")).status === 404,
+    );
+  });
+});
+
+test("the history of the store can be gone", async (t) => {
+  await withSite(async (site) => {
+    site.store.compact();
+    site.configure(5, { listeners: [] });
+    await until(
+      "takes force",
+      async () =>
+        (await ask(site.vms[0]!.ip, "front.example", "/safe/")).status === 404,
+    );
+    t.pass();
+  });
+});
