--- a/scripts/build_sidecar.mjs
+++ b/scripts/build_sidecar.mjs
@@ -5,7 +5,7 @@
 await build({
   entryPoints: ["platform/main.ts"],
   bundle: true,
-  minify: true,
+  minifyWhitespace: false,
   platform: "node",
   format: "cjs",
   target: "node20",
--- a/src/backend/open_server_connection.ts
+++ b/src/backend/open_server_connection.ts
@@ -12,6 +12,8 @@
 // Where a server doesn't say how long it keeps an idle connection open.
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 
+const NOTHING = Buffer.alloc(0);
+
 type Exchange = {
   request: CallRequest;
   onOutcome: (outcome: CallOutcome) => void;
@@ -37,7 +39,7 @@
   let closed = false;
   // After a response to another request nothing tells whether more follow.
   let reusable = true;
-  const socket = connect({ host, port });
+  const socket = connect({ host, port, allowHalfOpen: true });
   socket.setNoDelay(true);
 
   const settle = (outcome: CallOutcome) => {
@@ -109,13 +111,24 @@
   socket.on("data", (chunk: Buffer) => {
     if (!closed) reader.push(chunk);
   });
-  socket.on("end", () => {
+  const end = () => {
     reader.end();
     close(
       reader.partial() !== "none"
         ? { kind: "unknown", reason: "truncated-response" }
         : lost(),
     );
+  };
+  socket.on("end", () => {
+    // libuv reports the end of the stream also where the connection was reset
+    // behind its last bytes; a write, even of nothing, fails on that.
+    if (reader.partial() !== "body") end();
+    else {
+      socket.write(NOTHING, (fault) => {
+        if (fault) close({ kind: "unknown", reason: "truncated-response" });
+        else end();
+      });
+    }
   });
   socket.on("error", () => close(lost()));
   socket.on("close", () => close(lost()));
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -32,6 +32,10 @@
 const NOT_READY_RETRY_MS = 500;
 // A retry that has less than this share of the target latency left is wasted.
 const LEAST_RETRY_SHARE = 0.2;
+// A service with less slot time in a request's graph is an error of estimate.
+const LEAST_COST_MS = 5;
+// Repeats that a request with nested calls is charged.
+const NESTED_REPEAT_COST = 4;
 const SERVER_ERROR = 500;
 const DEADLINE_EXCEEDED = 504;
 
@@ -164,7 +168,20 @@
     if (!route.repeatable || attempts >= route.maxAttempts) return false;
     const least = route.targetLatencyMs * LEAST_RETRY_SHARE;
     if (expiresAt - steadyTime() < least) return false;
-    return spendRetry(budget, service);
+    return spendRetry(budget, service, repeatCost(call));
+  };
+  /**
+   * A request that runs once more makes its calls once more, at each level
+   * below; only a request that is known to make none costs a single repeat.
+   */
+  const repeatCost = ({ route, service }: OpenCall) => {
+    const costs = graph.callees.get(route.name) ??
+      admission.roots.get(route.name)?.costs ?? [];
+    const known = costs.length > 0;
+    const alone = costs.every((cost) =>
+      cost.service === service || cost.slotMs < LEAST_COST_MS
+    );
+    return known && alone ? 1 : NESTED_REPEAT_COST;
   };
   const retry = (call: OpenCall) => {
     call.refusedBy.add(call.target!.address);
@@ -190,7 +207,7 @@
       call.refusedBy.add(call.target!.address);
       const again = call.refusedBy.size < MOST_REFUSALS &&
         reason !== "expired" &&
-        (!arrived || spendRetry(budget, call.service));
+        (!arrived || spendRetry(budget, call.service, 1));
       if (again) send(call);
       else if (call.earlier !== null) reply(call, call.earlier);
       else if (call.attempts > 0) fail(call, reason, reason === "expired");
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -34,8 +34,10 @@
 const HIGH_LOAD = 0.6;
 // A run time that changes by this share is told as well.
 const RUN_TIME_CHANGE = 0.2;
-// Longest time that one call to the store waits for a change.
-const WATCH_MS = 8_000;
+// Longest time that one call to the store waits for a change. A connection
+// that goes silent shows only when the call is overdue, and a configuration
+// must be in force two seconds after the store is back.
+const WATCH_MS = 1_500;
 // Before the first configuration, limits that any client stays within.
 const FIRST_LIMITS: RouteTable["limits"] = {
   headBytes: 16 * 1024,
@@ -60,6 +62,8 @@
 // Repeats that one daemon may save up, of the share that it would have of the
 // fleet's slack; the rest is room for daemons that come and go.
 const SLACK_SHARE = 0.5;
+// A request with nested calls is charged this many repeats.
+const SAVED_REPEATS = 4;
 const RATIO_SHARE = 0.5;
 
 /** Starts a daemon beside a backend server. */
@@ -172,7 +176,7 @@
   });
   const budget = {
     ratio: settings.retries.ratio * RATIO_SHARE,
-    most: settings.retries.slack * SLACK_SHARE,
+    most: SAVED_REPEATS,
     left: new Map<string, number>(),
   };
   const origin = createOrigin({
@@ -218,7 +222,8 @@
     learnRatios(graph, steadyTime());
     fadeCallers(graph, steadyTime());
     const daemons = 1 + mesh.peers.size;
-    budget.most = settings.retries.slack * SLACK_SHARE / daemons;
+    budget.most = SAVED_REPEATS +
+      settings.retries.slack * SLACK_SHARE / daemons;
   }, SLOW_TICK_MS);
   setInterval(() => {
     const load = backend.load();
