--- a/src/origin/admission.ts
+++ b/src/origin/admission.ts
@@ -1,23 +1,26 @@
 import type { ServiceCost } from "../calls/service_cost.ts";
 
-/** How much of the root requests is refused, by the service that binds. */
+/** What the root requests admitted here may use of each service. */
 export type Admission = {
-  services: Map<string, Pressure>;
+  services: Map<string, Allowance>;
   /** Root routes that were requested here, by name. */
   roots: Map<string, Root>;
   /** Steady time of the last update, in ms. */
   updatedAt: number;
 };
 
-type Pressure = {
-  /** Smoothed load of the servers of the service. */
+type Allowance = {
+  /** Running and waiting requests as a share of the slots of the service. */
   load: number;
-  /**
-   * How far refusals reach into the roots that use the service: the least
-   * important route is refused in full at 1, the next one at 2.
-   */
-  level: number;
-  /** Names of the roots that use the service, the first is refused first. */
+  /** Slots that the requests admitted here have used lately. */
+  used: number;
+  /** Slots that they may use; Infinity as long as nothing is known. */
+  allowed: number;
+  /** Slot time that may be spent now, in ms; negative where it is overdrawn. */
+  balance: number;
+  /** Slot time admitted since the last update, in ms. */
+  admitted: number;
+  /** Names of the roots that use the service, the most important first. */
   order: string[];
 };
 
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -10,6 +10,7 @@
 import { choosePart } from "../routes/choose_part.ts";
 import { findRoute } from "../routes/find_route.ts";
 import type { RoutesInForce } from "../routes/routes_in_force.ts";
+import { admit } from "./admit.ts";
 import type { Admission } from "./admission.ts";
 import { chooseCandidate } from "./choose_candidate.ts";
 import { earnRetry } from "./earn_retry.ts";
@@ -17,7 +18,6 @@
 import { noteRoot } from "./note_root.ts";
 import type { OpenCall } from "./open_call.ts";
 import type { Origin } from "./origin.ts";
-import { refusedShare } from "./refused_share.ts";
 import type { Reply } from "./reply.ts";
 import { returnAfter } from "./return_after.ts";
 import type { RetryBudget } from "./retry_budget.ts";
@@ -266,9 +266,9 @@
       if (call.root === false) noteCall(graph, route.name);
       else if (call.root === true) {
         noteRoot(admission, route.name, route.rank, null, now);
-        const { share, service: binding } = refusedShare(admission, route.name);
-        if (share > 0 && random() < share) {
-          refuse(call, `overload of ${binding}`, 0);
+        const decision = admit(admission, route.name, random);
+        if (!decision.admitted) {
+          refuse(call, `overload of ${decision.service}`, 0);
           return ignore;
         }
       }
--- a/src/origin/update_admission.ts
+++ b/src/origin/update_admission.ts
@@ -1,51 +1,77 @@
 import type { Admission } from "./admission.ts";
+import { BINDING_LOAD } from "./binding_load.ts";
+import { savedMs } from "./saved_ms.ts";
 
-// A server with a load of 1 has no free slot, and a little waits before it.
+// At this load nearly all slots are used, and little waits.
 const TARGET_LOAD = 0.95;
-const SMOOTHING_MS = 300;
-// Change of the level for each second and each unit of load off the target.
-const RISE_PER_S = 1.2;
-const FALL_PER_S = 0.8;
-// A single report of a long queue must not close a route at once.
-const MOST_EXCESS = 1;
+// A lower load says little about how much more fits, a higher one is a queue
+// that is about to drain.
+const LEAST_LOAD = 0.5;
+const MOST_LOAD = 1.6;
+// Share of the most savings that a service with room has at least.
+const IDLE_SAVINGS = 0.6;
+// About the time from the admission of a request to its effect on the load.
+const USED_SMOOTHING_MS = 800;
+const ALLOWED_SMOOTHING_MS = 800;
 // A root that uses less of a service doesn't relieve it when it is refused.
 const LEAST_COST_MS = 5;
-// A root without requests for this long frees nothing when it is refused.
+// A root without requests for this long uses nothing.
 const SEEN_WITHIN_MS = 3_000;
 
 /**
- * Moves the level of each service by the load of its servers: up while they
- * are over the target, down while they are under it. The roots that use a
- * service are refused in order of importance, and among equals the one that
- * costs it most goes first.
+ * Takes the newest loads into the allowances. What the requests admitted here
+ * use of a service, set against its load, tells what they may use at the target
+ * load; so each origin keeps its part of the service without knowing the others.
  */
 export function updateAdmission(
   admission: Admission,
   loads: ReadonlyMap<string, number>,
   now: number,
 ): void {
-  const { services, roots } = admission;
   const elapsedMs = now - admission.updatedAt;
   if (elapsedMs <= 0) return;
   admission.updatedAt = now;
-  const weight = Math.min(1, elapsedMs / SMOOTHING_MS);
   for (const [service, load] of loads) {
-    let pressure = services.get(service);
-    if (pressure === undefined) {
-      pressure = { load, level: 0, order: [] };
-      services.set(service, pressure);
+    let allowance = admission.services.get(service);
+    if (allowance === undefined) {
+      allowance = {
+        load,
+        used: 0,
+        allowed: Infinity,
+        balance: 0,
+        admitted: 0,
+        order: [],
+      };
+      admission.services.set(service, allowance);
     }
-    pressure.load += weight * (load - pressure.load);
-    if (pressure.level === 0 && pressure.load < TARGET_LOAD) continue;
-    pressure.order = refusalOrder(roots, service, now);
-    const error = Math.min(pressure.load - TARGET_LOAD, MOST_EXCESS);
-    const perSecond = error * (error > 0 ? RISE_PER_S : FALL_PER_S);
-    const level = pressure.level + perSecond * elapsedMs / 1_000;
-    pressure.level = Math.max(0, Math.min(level, pressure.order.length));
+    allowance.load = load;
+    const used = allowance.admitted / elapsedMs;
+    allowance.admitted = 0;
+    allowance.used += share(elapsedMs, USED_SMOOTHING_MS) *
+      (used - allowance.used);
+    const bounded = Math.min(MOST_LOAD, Math.max(LEAST_LOAD, load));
+    const fits = allowance.used * TARGET_LOAD / bounded;
+    allowance.allowed = allowance.allowed === Infinity
+      ? fits || Infinity
+      : allowance.allowed +
+        share(elapsedMs, ALLOWED_SMOOTHING_MS) * (fits - allowance.allowed);
+    if (allowance.allowed < Infinity) {
+      const most = savedMs(allowance.allowed);
+      // What was admitted while there was room isn't made up for later.
+      const least = load < BINDING_LOAD ? IDLE_SAVINGS * most : -most;
+      const balance = allowance.balance + allowance.allowed * elapsedMs;
+      allowance.balance = Math.max(least, Math.min(most, balance));
+    }
+    allowance.order = orderOf(admission.roots, service, now);
   }
 }
 
-function refusalOrder(
+/** Weight of what came in `elapsedMs` in a mean over `smoothingMs`. */
+function share(elapsedMs: number, smoothingMs: number): number {
+  return 1 - Math.exp(-elapsedMs / smoothingMs);
+}
+
+function orderOf(
   roots: Admission["roots"],
   service: string,
   now: number,
@@ -57,6 +83,6 @@
     if (cost === undefined || cost.slotMs < LEAST_COST_MS) continue;
     users.push({ name, rank, slotMs: cost.slotMs });
   }
-  users.sort((a, b) => b.rank - a.rank || b.slotMs - a.slotMs);
+  users.sort((a, b) => a.rank - b.rank || a.slotMs - b.slotMs);
   return users.map(({ name }) => name);
 }
