--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -15,6 +15,7 @@
 import { createGate } from "./create_gate.ts";
 import { depart } from "./depart.ts";
 import { expireJobs } from "./expire_jobs.ts";
+import { flowWeight } from "./flow_weight.ts";
 import { finishJob } from "./finish_job.ts";
 import type { Job } from "./job.ts";
 import { loadOf } from "./load_of.ts";
@@ -33,6 +34,8 @@
 // What is learned of a route changes slowly; this share of its outcomes
 // carries it.
 const ROUTE_REPORT_SHARE = 0.1;
+// The first outcomes all carry it: nobody knows anything yet.
+const EARLY_REPORTS = 500;
 // A server stops at the deadline it was given; this is room for its answer.
 const OVERDUE_MS = 100;
 // Refused connections in a row after which the server is taken as gone.
@@ -73,6 +76,7 @@
 ): Backend {
   let registration: Registration | null = null;
   let opened = false;
+  let reports = 0;
   let refusedConnections = 0;
   const gate = createGate(1);
   const runs = new Set<Run>();
@@ -86,7 +90,8 @@
     opened && registration !== null && !registration.leaving &&
     alive(steadyTime());
   const report = (route: string): CallReport => {
-    const root = random() < ROUTE_REPORT_SHARE
+    const early = reports++ < EARLY_REPORTS;
+    const root = early || random() < ROUTE_REPORT_SHARE
       ? isRoot(graph, route, services())
       : undefined;
     return {
@@ -197,8 +202,9 @@
       if (!opened || !alive(steadyTime())) return refuse("no-server");
       let run: Run | null = null;
       const job: Job = {
-        nested: request.nested,
-        rank: request.rank,
+        flow: request.route,
+        weight: flowWeight(request.nested, request.rank),
+        runMs: graph.slotMs.get(request.route) ?? gate.meanRunMs,
         expiresAt: request.expiresAt,
         start() {
           if (registration?.id === request.serverId && !registration.leaving) {
--- a/src/backend/create_gate.ts
+++ b/src/backend/create_gate.ts
@@ -8,8 +8,9 @@
   return {
     limit,
     running: 0,
-    queues: [],
+    flows: new Map(),
     waiting: 0,
+    virtualMs: 0,
     meanRunMs: FIRST_MEAN_RUN_MS,
   };
 }
--- a/src/backend/next_jobs.ts
+++ b/src/backend/next_jobs.ts
@@ -1,21 +1,27 @@
 import type { Gate } from "./gate.ts";
+import { takeSlot } from "./take_slot.ts";
 
-// A run shorter than this share of the mean is rare enough to give up on.
+// A run shorter than this share of the expected one is rare enough to give up
+// on.
 const LEAST_RUN_SHARE = 0.5;
 
 /** Starts waiting jobs as far as there is room; refuses those out of time. */
 export function nextJobs(gate: Gate, now: number): void {
-  const least = LEAST_RUN_SHARE * gate.meanRunMs;
-  for (const queue of gate.queues) {
-    while (queue !== undefined && queue.length > 0) {
-      if (gate.running >= gate.limit) return;
-      const job = queue.shift()!;
-      gate.waiting--;
-      if (job.expiresAt - now < least) job.refuse("expired", 0);
-      else {
-        gate.running++;
-        job.start();
-      }
-    }
+  while (gate.running < gate.limit && gate.waiting > 0) {
+    const job = nextFlow(gate).jobs.shift()!;
+    gate.waiting--;
+    if (job.expiresAt - now < LEAST_RUN_SHARE * job.runMs) {
+      job.refuse("expired", 0);
+    } else takeSlot(gate, job);
   }
 }
+
+/** The waiting flow whose next job has the least start tag. */
+function nextFlow({ flows }: Gate) {
+  let best = null;
+  for (const flow of flows.values()) {
+    if (flow.jobs.length === 0) continue;
+    if (best === null || flow.finishMs < best.finishMs) best = flow;
+  }
+  return best!;
+}
--- a/src/backend/offer_job.ts
+++ b/src/backend/offer_job.ts
@@ -1,9 +1,9 @@
-import { classOf } from "./class_of.ts";
 import type { Gate } from "./gate.ts";
 import type { Job } from "./job.ts";
+import { takeSlot } from "./take_slot.ts";
 
-// A job that would have less than this share of the mean run time left when
-// its turn comes is unlikely to finish.
+// A job that would have less than this share of its run time left when its
+// turn comes is unlikely to finish.
 const LEAST_RUN_SHARE = 0.8;
 
 /**
@@ -11,20 +11,37 @@
  * in time behind the jobs that go ahead of it.
  */
 export function offerJob(gate: Gate, job: Job, now: number): void {
-  if (gate.running < gate.limit) {
-    gate.running++;
-    job.start();
+  if (gate.running < gate.limit && gate.waiting === 0) {
+    takeSlot(gate, job);
     return;
   }
-  const { meanRunMs, limit, queues } = gate;
-  const own = classOf(job);
-  let ahead = 1;
-  for (let at = 0; at <= own; at++) ahead += queues[at]?.length ?? 0;
-  const waitMs = ahead * meanRunMs / limit;
-  if (now + waitMs + LEAST_RUN_SHARE * meanRunMs > job.expiresAt) {
+  const waitMs = expectedWait(gate, job);
+  if (now + waitMs + LEAST_RUN_SHARE * job.runMs > job.expiresAt) {
     job.refuse("overload", waitMs);
     return;
   }
-  (queues[own] ??= []).push(job);
+  let flow = gate.flows.get(job.flow);
+  if (flow === undefined) {
+    flow = { jobs: [], weight: job.weight, finishMs: gate.virtualMs };
+    gate.flows.set(job.flow, flow);
+  }
+  flow.weight = job.weight;
+  flow.jobs.push(job);
   gate.waiting++;
 }
+
+/** The own flow at its share of the server, or all that waits if that is less. */
+function expectedWait({ flows, limit, meanRunMs }: Gate, job: Job): number {
+  let weights = job.weight;
+  let all = 0;
+  let own = 0;
+  for (const [name, { jobs, weight }] of flows) {
+    if (jobs.length === 0) continue;
+    const work = jobs.length * jobs[0]!.runMs;
+    all += work;
+    if (name === job.flow) own = work;
+    else weights += weight;
+  }
+  const ahead = Math.min(all, own * weights / job.weight);
+  return (ahead + meanRunMs) / limit;
+}
--- a/src/costs/call_graph.ts
+++ b/src/costs/call_graph.ts
@@ -19,6 +19,8 @@
   callers: Map<string, Map<string, number>>;
   /** Whether clients send the requests of a route, as its servers report. */
   roots: Map<string, boolean>;
+  /** Windows with calls so far. */
+  windows: number;
   /** Steady time at which the window began, in ms. */
   windowStartedAt: number;
   /** Steady time at which the counts of callers were halved, in ms. */
--- a/src/costs/create_call_graph.ts
+++ b/src/costs/create_call_graph.ts
@@ -11,6 +11,7 @@
     callees: new Map(),
     callers: new Map(),
     roots: new Map(),
+    windows: 0,
     windowStartedAt: now,
     fadedAt: now,
   };
--- a/src/costs/learn_ratios.ts
+++ b/src/costs/learn_ratios.ts
@@ -1,10 +1,10 @@
 import type { CallGraph } from "./call_graph.ts";
 
-const WINDOW_MS = 500;
-// Share of the error that one window corrects.
-const STEP = 0.3;
+const WINDOW_MS = 250;
+// Share of the error that one window corrects; the first ones correct more.
+const STEP = 0.15;
 // Keeps windows with few runs from deciding much.
-const DAMPING = 25;
+const DAMPING = 9;
 
 /**
  * At the end of each window, moves the ratios towards what explains its calls:
@@ -14,6 +14,8 @@
 export function learnRatios(graph: CallGraph, now: number): void {
   if (now - graph.windowStartedAt < WINDOW_MS) return;
   graph.windowStartedAt = now;
+  if (graph.calls.size > 0) graph.windows++;
+  const step = Math.max(STEP, 1 / (graph.windows + 1));
   const { runs, calls, ratios } = graph;
   let power = DAMPING;
   for (const count of runs.values()) power += count * count;
@@ -26,7 +28,7 @@
       error -= (byRoute.get(route) ?? 0) * count;
     }
     for (const [route, count] of runs) {
-      const ratio = (byRoute.get(route) ?? 0) + STEP * error * count / power;
+      const ratio = (byRoute.get(route) ?? 0) + step * error * count / power;
       byRoute.set(route, Math.max(0, ratio));
     }
   }
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -26,6 +26,9 @@
 
 // Where the client states no deadline, the route's timeout is the only bound.
 const UNBOUNDED_MS = 3_600_000;
+// A final answer must reach the client before it gives up.
+const MOST_ANSWER_MARGIN_MS = 100;
+const ANSWER_MARGIN_SHARE = 0.1;
 // Servers that turn a request away in a row before it is refused.
 const MOST_REFUSALS = 3;
 // Time after which a daemon without routes or servers asks clients to return.
@@ -252,7 +255,8 @@
         service,
         root: graph.roots.get(route.name),
         startedAt: now,
-        expiresAt: now + Math.min(waitsMs, route.timeoutMs),
+        expiresAt: now +
+          Math.min(waitsMs - answerMargin(waitsMs), route.timeoutMs),
         clientLeavesAt: now + waitsMs,
         attempts: 0,
         refusedBy: new Set(),
@@ -313,4 +317,9 @@
   return total;
 }
 
+/** Time kept for the final answer to reach its client, in ms. */
+function answerMargin(waitsMs: number): number {
+  return Math.min(MOST_ANSWER_MARGIN_MS, waitsMs * ANSWER_MARGIN_SHARE);
+}
+
 function ignore(): void {}
