--- a/src/backend/backend.ts
+++ b/src/backend/backend.ts
@@ -34,6 +34,8 @@
     request: CallRequest,
     onOutcome: (outcome: CallOutcome, report: CallReport) => void,
   ): () => void;
+  /** Route of the running request that expires at a time, if there is one. */
+  routeExpiringAt(expiresAt: number): string | null;
   /** Ends what ran out of time, and closes connections idle for long. */
   tick(): void;
   /** Requests that run or wait. */
--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -25,6 +25,7 @@
 import type { Registration } from "./registration.ts";
 import type { ServerConnection } from "./server_connection.ts";
 import type { ServerProtocol } from "./server_protocol.ts";
+import { routeExpiringAt } from "./route_expiring_at.ts";
 import { withdrawJob } from "./withdraw_job.ts";
 
 // Servers slow down when nearly full, so a few slots stay free.
@@ -231,6 +232,7 @@
         }
       };
     },
+    routeExpiringAt: (expiresAt) => routeExpiringAt(runs, expiresAt),
     tick() {
       const now = steadyTime();
       expireJobs(gate, now);
--- a/src/costs/call_graph_test.ts
+++ b/src/costs/call_graph_test.ts
@@ -1,54 +1,74 @@
 import test from "ava";
 import { seededRandom } from "../core/seeded_random.ts";
+import { callsPerRun } from "./calls_per_run.ts";
 import { costsOf } from "./costs_of.ts";
 import { createCallGraph } from "./create_call_graph.ts";
-import { learnRatios } from "./learn_ratios.ts";
+import { fadeCounts } from "./fade_counts.ts";
 import { noteCall } from "./note_call.ts";
 import { noteRun } from "./note_run.ts";
 import { noteSlotTime } from "./note_slot_time.ts";
 
-const WINDOW_MS = 250;
-
-/** Two routes at one service; only `parent` makes calls, four each. */
-function learned(windows: number) {
+/**
+ * Two routes at one service whose rates rise and fall together; `parent` makes
+ * four calls a run, of which a third expires with it. One call in ten expires
+ * with another request by chance.
+ */
+function learned() {
   const random = seededRandom(3);
   const graph = createCallGraph("middle", 0);
-  for (let at = 1; at <= windows; at++) {
-    const parents = Math.floor(random() * 40);
-    for (let i = 0; i < parents; i++) {
-      noteRun(graph, "parent");
-      for (let call = 0; call < 4; call++) noteCall(graph, "leaf");
+  for (let run = 0; run < 400; run++) {
+    noteRun(graph, "plain");
+    noteRun(graph, "parent");
+    for (let call = 0; call < 4; call++) {
+      const draw = random();
+      const caller = draw < 0.33
+        ? "parent"
+        : draw < 0.43
+        ? (random() < 0.5 ? "plain" : "parent")
+        : null;
+      noteCall(graph, "leaf", caller);
     }
-    const others = Math.floor(random() * 40);
-    for (let i = 0; i < others; i++) noteRun(graph, "plain");
-    learnRatios(graph, at * WINDOW_MS);
+    fadeCounts(graph, run * 50);
   }
   return graph;
 }
 
 test("tells which of two routes makes the calls", (t) => {
-  const ratios = learned(40).ratios.get("leaf")!;
-  t.true(Math.abs(ratios.get("parent")! - 4) < 0.6);
-  t.true(ratios.get("plain")! < 0.6);
+  const graph = learned();
+  t.true(Math.abs(callsPerRun(graph, "leaf", "parent") - 4) < 0.1);
+  t.is(callsPerRun(graph, "leaf", "plain"), 0);
+});
+
+test("two routes that call the same one both count", (t) => {
+  const graph = createCallGraph("middle", 0);
+  for (let run = 0; run < 100; run++) {
+    noteRun(graph, "a");
+    noteCall(graph, "leaf", "a");
+    noteRun(graph, "b");
+    for (let call = 0; call < 2; call++) noteCall(graph, "leaf", "b");
+  }
+  t.is(callsPerRun(graph, "leaf", "a"), 1);
+  t.is(callsPerRun(graph, "leaf", "b"), 2);
+});
+
+test("without known callers the runs share the calls", (t) => {
+  const graph = createCallGraph("middle", 0);
+  for (let run = 0; run < 10; run++) {
+    noteRun(graph, "a");
+    noteRun(graph, "b");
+    noteCall(graph, "leaf", null);
+  }
+  t.is(callsPerRun(graph, "leaf", "a"), 0.5);
 });
 
 test("adds the cost of nested calls to that of the own run", (t) => {
-  const graph = learned(40);
+  const graph = learned();
   graph.callees.set("leaf", [{ service: "deep", slotMs: 55 }]);
   noteSlotTime(graph, "parent", 200);
   noteSlotTime(graph, "plain", 500);
   const costs = costsOf(graph, "parent");
   t.deepEqual(costs.map(({ service }) => service), ["middle", "deep"]);
   t.is(costs[0]!.slotMs, 200);
-  t.true(Math.abs(costs[1]!.slotMs - 220) < 40);
-});
-
-test("a route without calls costs its own run only", (t) => {
-  const graph = createCallGraph("middle", 0);
-  for (let at = 1; at < 20; at++) {
-    for (let i = 0; i < 10; i++) noteRun(graph, "plain");
-    learnRatios(graph, at * WINDOW_MS);
-  }
-  noteSlotTime(graph, "plain", 30);
-  t.deepEqual(costsOf(graph, "plain"), [{ service: "middle", slotMs: 30 }]);
+  t.true(Math.abs(costs[1]!.slotMs - 220) < 10);
+  t.deepEqual(costsOf(graph, "plain"), [{ service: "middle", slotMs: 500 }]);
 });
--- a/src/costs/create_call_graph.ts
+++ b/src/costs/create_call_graph.ts
@@ -6,13 +6,10 @@
     service,
     runs: new Map(),
     calls: new Map(),
-    ratios: new Map(),
     slotMs: new Map(),
     callees: new Map(),
     callers: new Map(),
     roots: new Map(),
-    windows: 0,
-    windowStartedAt: now,
     fadedAt: now,
   };
 }
--- a/src/costs/is_root_test.ts
+++ b/src/costs/is_root_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { createCallGraph } from "./create_call_graph.ts";
-import { fadeCallers } from "./fade_callers.ts";
+import { fadeCounts } from "./fade_counts.ts";
 import { isRoot } from "./is_root.ts";
 import { noteCaller } from "./note_caller.ts";
 
@@ -37,7 +37,7 @@
   const graph = called({ a: 40, b: 40, c: 10 });
   t.true(isRoot(graph, "r", SERVICES));
   for (let round = 1; round <= 5; round++) {
-    fadeCallers(graph, round * 5_000);
+    fadeCounts(graph, round * 5_000);
     for (let i = 0; i < 40; i++) noteCaller(graph, "r", "a");
   }
   t.false(isRoot(graph, "r", SERVICES));
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -48,6 +48,7 @@
     caller,
     dataCentre,
     routes,
+    callerOf,
     forwarder,
     graph,
     admission,
@@ -62,6 +63,8 @@
     caller: string;
     dataCentre: string;
     routes: () => RoutesInForce | null;
+    /** Route of the own server's request that expires at a steady time. */
+    callerOf: (expiresAt: number) => string | null;
     forwarder: Forwarder;
     graph: CallGraph;
     admission: Admission;
@@ -267,8 +270,9 @@
       };
       open.add(call);
       earnRetry(budget, service);
-      if (call.root === false) noteCall(graph, route.name);
-      else if (call.root === true) {
+      if (call.root === false) {
+        noteCall(graph, route.name, callerOf(now + waitsMs));
+      } else if (call.root === true) {
         noteRoot(admission, route.name, route.rank, null, now);
         const decision = admit(admission, route.name, random);
         if (!decision.admitted) {
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -3,8 +3,7 @@
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createCallGraph } from "../costs/create_call_graph.ts";
-import { fadeCallers } from "../costs/fade_callers.ts";
-import { learnRatios } from "../costs/learn_ratios.ts";
+import { fadeCounts } from "../costs/fade_counts.ts";
 import { createClientConnections } from "../edge/create_client_connections.ts";
 import { createMesh } from "../mesh/create_mesh.ts";
 import type { Entry } from "../mesh/entry.ts";
@@ -183,6 +182,7 @@
     caller: service,
     dataCentre,
     routes: () => routes,
+    callerOf: (expiresAt) => backend.routeExpiringAt(expiresAt),
     forwarder: createForwarder({
       service,
       dataCentre,
@@ -219,8 +219,7 @@
   setInterval(() => {
     mesh.tick();
     connections.sweep();
-    learnRatios(graph, steadyTime());
-    fadeCallers(graph, steadyTime());
+    fadeCounts(graph, steadyTime());
     const daemons = 1 + mesh.peers.size;
     budget.most = SAVED_REPEATS +
       settings.retries.slack * SLACK_SHARE / daemons;
