--- a/src/calls/route_report.ts
+++ b/src/calls/route_report.ts
@@ -1,12 +1,14 @@
-import type { ServiceCost } from "./service_cost.ts";
+import { z } from "zod";
+import { ServiceCost } from "./service_cost.ts";
 
 /** What the daemon beside a server has learned about a route. */
-export type RouteReport = {
+export const RouteReport = z.object({
   /** Slot time of one request over its whole call graph. */
-  costs: readonly ServiceCost[];
+  costs: z.array(ServiceCost),
   /**
    * Whether clients send the requests; if not, servers make them while they
    * run others.
    */
-  root: boolean;
-};
+  root: z.boolean(),
+});
+export type RouteReport = z.infer<typeof RouteReport>;
--- a/src/calls/service_cost.ts
+++ b/src/calls/service_cost.ts
@@ -1,2 +1,8 @@
+import { z } from "zod";
+
 /** Slot time that one request takes at a service, in ms. */
-export type ServiceCost = { service: string; slotMs: number };
+export const ServiceCost = z.object({
+  service: z.string(),
+  slotMs: z.number().min(0),
+});
+export type ServiceCost = z.infer<typeof ServiceCost>;
--- a/src/costs/costs_of.ts
+++ b/src/costs/costs_of.ts
@@ -14,5 +14,8 @@
       total.set(cost.service, sum + count * cost.slotMs);
     }
   }
-  return [...total].map(([name, ms]) => ({ service: name, slotMs: ms }));
+  return [...total].map(([name, ms]) => ({
+    service: name,
+    slotMs: Math.round(ms),
+  }));
 }
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -1,6 +1,6 @@
 import { connect } from "node:net";
 import type { CallOutcome } from "../calls/call_outcome.ts";
-import type { RouteReport } from "../calls/route_report.ts";
+import { RouteReport } from "../calls/route_report.ts";
 import type { Logger } from "../core/logger.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
@@ -119,7 +119,7 @@
       status,
       fields,
       body: asBuffer(body),
-    }, route);
+    }, readRoute(route));
   },
   "not-run"(peer, [, stream, reason, waitMs, arrived, load]) {
     settle(peer, stream, load, {
@@ -153,6 +153,13 @@
   onOutcome(outcome, { load, route });
 }
 
+/** A daemon of another version may report in another form; that is left out. */
+function readRoute(input: unknown): RouteReport | null {
+  if (input === null) return null;
+  const parsed = RouteReport.safeParse(input);
+  return parsed.success ? parsed.data : null;
+}
+
 function asBuffer(bytes: Uint8Array): Buffer {
   return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 }
--- a/src/origin/admission_test.ts
+++ b/src/origin/admission_test.ts
@@ -21,7 +21,7 @@
 ) {
   const random = seededRandom(5);
   const admission = createAdmission(0);
-  let queue: number[] = [];
+  const queue: number[] = [];
   const slots = new Array<number>(SLOTS).fill(0);
   let now = 0;
   return phases.map(({ forMs, roots }) => {
--- a/src/sidecar/row_store.ts
+++ b/src/sidecar/row_store.ts
@@ -6,8 +6,11 @@
   changes(table: string, after: number, waitMs: number): Promise<Changes>;
   /** Writes a row whatever it holds. */
   put(table: string, key: string, value: Buffer): Promise<void>;
-  /** Drops all connections, for when they may have gone silent. */
-  reconnect(): void;
+  /**
+   * Drops all connections, for when they may have gone silent or the store has
+   * moved to another address.
+   */
+  reconnect(address?: string): void;
 };
 
 type Row = { key: string; value: Buffer; removed: boolean };
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -77,6 +77,7 @@
   },
 ): Sidecar {
   const { name, service, dataCentre, listen } = settings;
+  let { storeAddress, retries, gracePeriodMs } = settings;
   const { store, configurationRow } = adapter;
   let routes: RoutesInForce | null = null;
   let configuration: { version: number; bytes: Uint8Array } | null = null;
@@ -174,7 +175,7 @@
     },
   });
   const budget = {
-    ratio: settings.retries.ratio * RATIO_SHARE,
+    ratio: retries.ratio * RATIO_SHARE,
     most: SAVED_REPEATS,
     left: new Map<string, number>(),
   };
@@ -222,7 +223,7 @@
     fadeCounts(graph, steadyTime());
     const daemons = 1 + mesh.peers.size;
     budget.most = SAVED_REPEATS +
-      settings.retries.slack * SLACK_SHARE / daemons;
+      retries.slack * SLACK_SHARE / daemons;
   }, SLOW_TICK_MS);
   setInterval(() => {
     const load = backend.load();
@@ -279,6 +280,13 @@
       ]);
     },
     metrics: () => formatPrometheus(takeSnapshot(metrics)),
+    reload(next) {
+      ({ retries, gracePeriodMs } = next);
+      budget.ratio = retries.ratio * RATIO_SHARE;
+      if (next.storeAddress === storeAddress) return;
+      storeAddress = next.storeAddress;
+      store.reconnect(storeAddress);
+    },
     async stop() {
       const startedAt = steadyTime();
       stopping = true;
@@ -286,7 +294,7 @@
       mesh.announce(self());
       connections.drain();
       const elapsed = () => steadyTime() - startedAt;
-      const latest = settings.gracePeriodMs - STOP_MARGIN_MS;
+      const latest = gracePeriodMs - STOP_MARGIN_MS;
       while (elapsed() < latest) {
         await delay(STOP_POLL_MS);
         refusing ||= elapsed() > PEERS_LEAVE_MS;
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -222,6 +222,22 @@
   });
 });
 
+test("settings that don't hold change nothing, others take force", async (t) => {
+  await withSite(async (site) => {
+    const vm = site.vms[0]!;
+    const line = (event: string) =>
+      until(event, () => vm.lines.find((text) => text.includes(event)));
+    vm.rewriteSettings((settings) => ({ ...settings, ip: 7 }));
+    vm.daemon.kill("SIGHUP");
+    t.regex(await line("event=settings-rejected"), /at=ip/);
+    t.true(await serves(vm));
+    vm.rewriteSettings((settings) => settings);
+    vm.daemon.kill("SIGHUP");
+    t.regex(await line("event=reloaded"), /changed=true/);
+    t.true(await serves(vm));
+  });
+});
+
 test("the history of the store can be gone", async (t) => {
   await withSite(async (site) => {
     site.store.compact();
