--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -148,10 +148,38 @@
         if (outcome.reason === "other-server") noteOtherServer(request);
       }
       finishJob(gate, served ? now - startedAt : null, now);
+      if (!answered) logFailure(request, outcome, now - startedAt);
       if (!run.cancelled) onOutcome(outcome, report(request.route));
     });
     return run;
   }
+  const logFailure = (
+    { id, route, serverId }: CallRequest,
+    outcome: Exclude<CallOutcome, { kind: "answered" }>,
+    ms: number,
+  ) =>
+    log(outcome.kind === "unknown" ? "call-failed" : "call-rejected", {
+      id,
+      route,
+      server: serverId,
+      reason: outcome.reason,
+      ms: Math.round(ms),
+      load: loadOf(gate),
+    });
+  const logRefusal = (
+    { id, route, serverId }: CallRequest,
+    reason: string,
+    waitMs = 0,
+  ) =>
+    log("call-refused", {
+      id,
+      route,
+      server: serverId,
+      reason,
+      load: loadOf(gate),
+      waiting: gate.waiting,
+      waitMs: Math.round(waitMs),
+    });
   const noteRefusedConnection = () => {
     refusedConnections++;
     if (refusedConnections !== REFUSED_CONNECTIONS) return;
@@ -190,6 +218,7 @@
       const refuse = (
         reason: "leaving" | "no-server" | "other-server",
       ) => {
+        logRefusal(request, reason);
         onOutcome(
           { kind: "not-run", reason, arrived: false },
           { load: loadOf(gate), route: null },
@@ -216,11 +245,13 @@
           gate.running--;
           refuse("leaving");
         },
-        refuse: (reason, waitMs) =>
+        refuse(reason, waitMs) {
+          logRefusal(request, reason, waitMs);
           onOutcome(
             { kind: "not-run", reason, waitMs, arrived: false },
             { load: loadOf(gate), route: null },
-          ),
+          );
+        },
       };
       offerJob(gate, job, steadyTime());
       return () => {
--- a/src/cli/command_table.ts
+++ b/src/cli/command_table.ts
@@ -2,6 +2,7 @@
 import { checkSettings } from "./commands/check_settings.ts";
 import { daemon } from "./commands/daemon.ts";
 import { drain } from "./commands/drain.ts";
+import { explain } from "./commands/explain.ts";
 import { members } from "./commands/members.ts";
 import { metrics } from "./commands/metrics.ts";
 import { approve } from "./commands/rules/approve.ts";
@@ -22,6 +23,7 @@
   members,
   metrics,
   drain,
+  explain,
   {
     name: "rules",
     summary: "Submit, show, verify and approve rules",
--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,39 @@
+import { z } from "zod";
+import { explainRequest } from "../../explain/explain_request.ts";
+import { formatExplanation } from "../../explain/format_explanation.ts";
+import { parseLogLine } from "../../explain/parse_log_line.ts";
+import { argument } from "../argument.ts";
+import { defineCommand } from "../define_command.ts";
+import { ExitStatus } from "../exit_status.ts";
+import { readText } from "../read_text.ts";
+
+/** Tells from collected logs what became of a request and why. */
+export const explain = defineCommand({
+  usage: "explain <id> <files..>",
+  summary: "Tell from the daemons' logs what became of a request",
+  positionals: { id: "Id of the request", files: "Log files of the daemons" },
+  options: {},
+  examples: [["$0 explain 9c41d07be2a35f68 logs/*", ""]],
+  schema: z.object({
+    id: z.coerce.string(),
+    files: argument.files.min(1, "the path of one file"),
+  }),
+  run({ id, files }, { out, err }) {
+    const lines = [];
+    for (const file of files) {
+      const read = readText(file);
+      if (!read.ok) {
+        err(`${read.message}\n`);
+        return Promise.resolve(ExitStatus.usage);
+      }
+      for (const text of read.text.split("\n")) {
+        const line = parseLogLine(text, file);
+        if (line !== null) lines.push(line);
+      }
+    }
+    const explanation = explainRequest(lines, id);
+    out(formatExplanation(explanation));
+    const found = explanation.decisions.length > 0;
+    return Promise.resolve(found ? ExitStatus.ok : ExitStatus.negative);
+  },
+});
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -12,6 +12,7 @@
 import type { RoutesInForce } from "../routes/routes_in_force.ts";
 import { admit } from "./admit.ts";
 import type { Admission } from "./admission.ts";
+import { BINDING_LOAD } from "./binding_load.ts";
 import { chooseCandidate } from "./choose_candidate.ts";
 import { earnRetry } from "./earn_retry.ts";
 import type { Forwarder } from "./forwarder.ts";
@@ -78,6 +79,7 @@
   },
 ): Origin {
   const open = new Set<OpenCall>();
+  const fullServices = new Set<string>();
 
   const reply = (call: OpenCall, answer: Reply) => {
     if (!open.delete(call)) return;
@@ -300,6 +302,19 @@
         else fail(call, "expired", true);
       }
       updateAdmission(admission, loads(), now);
+      for (const [service, allowance] of admission.services) {
+        const full = allowance.load >= BINDING_LOAD;
+        if (full === fullServices.has(service)) continue;
+        if (full) fullServices.add(service);
+        else fullServices.delete(service);
+        log(full ? "service-full" : "service-has-room", {
+          service,
+          load: round(allowance.load),
+          used: round(allowance.used),
+          allowed: round(allowance.allowed),
+          order: allowance.order.join(","),
+        });
+      }
     },
     open: () => open.size,
   };
@@ -326,4 +341,8 @@
   return Math.min(MOST_ANSWER_MARGIN_MS, waitsMs * ANSWER_MARGIN_SHARE);
 }
 
+function round(value: number): number {
+  return Math.round(100 * value) / 100;
+}
+
 function ignore(): void {}
--- a/src/sidecar/create_bounded_logger.ts
+++ b/src/sidecar/create_bounded_logger.ts
@@ -8,6 +8,8 @@
   "request-refused": 10,
   "request-cancelled": 5,
   "request-unrouted": 5,
+  "call-refused": 10,
+  "call-rejected": 10,
   "client-connection-failed": 2,
 };
 const OTHERS_PER_S = 30;
