--- a/src/origin/choose_candidate.ts
+++ b/src/origin/choose_candidate.ts
@@ -15,6 +15,7 @@
 // the share of requests that shows whether it has recovered.
 const FAILING_MORE = 0.25;
 const PROBE_SHARE = 0.03;
+const FULL_LOAD = 1.2;
 
 /**
  * Chooses a server of the own data centre while one has room, then the less
@@ -54,7 +55,11 @@
     most = Math.max(most, failing);
   }
   if (most <= least + FAILING_MORE || random() < PROBE_SHARE) return candidates;
-  return candidates.filter(({ failing }) => failing <= least + FAILING_MORE);
+  const sound = candidates.filter(({ failing }) =>
+    failing <= least + FAILING_MORE
+  );
+  // Without room at the sound ones, some answers are better than none.
+  return sound.some(({ load }) => load < FULL_LOAD) ? sound : candidates;
 }
 
 function betterOfTwo(
--- a/src/origin/choose_candidate_test.ts
+++ b/src/origin/choose_candidate_test.ts
@@ -61,6 +61,11 @@
   t.true(b1 > 0.9);
 });
 
+test("a failing server is used where the sound ones are full", (t) => {
+  const failing = server("b1", { failing: 0.6 });
+  t.deepEqual(shares([server("a1", { load: 1.5 }), failing]), { b1: 1 });
+});
+
 test("where all fail alike, none is passed over", (t) => {
   const failing = 0.6;
   t.deepEqual(shares([server("a1", { failing }), server("b1", { failing })]), {
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -38,8 +38,6 @@
 const LEAST_RETRY_SHARE = 0.2;
 // A service with less slot time in a request's graph is an error of estimate.
 const LEAST_COST_MS = 5;
-// Repeats that a request with nested calls is charged.
-const NESTED_REPEAT_COST = 4;
 const SERVER_ERROR = 500;
 const DEADLINE_EXCEEDED = 504;
 
@@ -176,20 +174,16 @@
     if (!route.repeatable || attempts >= route.maxAttempts) return false;
     const least = route.targetLatencyMs * LEAST_RETRY_SHARE;
     if (expiresAt - steadyTime() < least) return false;
-    return spendRetry(budget, service, repeatCost(call));
+    return spendRetry(budget, service, !makesNoCalls(call));
   };
-  /**
-   * A request that runs once more makes its calls once more, at each level
-   * below; only a request that is known to make none costs a single repeat.
-   */
-  const repeatCost = ({ route, service }: OpenCall) => {
+  /** Whether a request is known to run at its own service only. */
+  const makesNoCalls = ({ route, service }: OpenCall) => {
     const costs = graph.callees.get(route.name) ??
       admission.roots.get(route.name)?.costs ?? [];
-    const known = costs.length > 0;
-    const alone = costs.every((cost) =>
-      cost.service === service || cost.slotMs < LEAST_COST_MS
-    );
-    return known && alone ? 1 : NESTED_REPEAT_COST;
+    return costs.length > 0 &&
+      costs.every((cost) =>
+        cost.service === service || cost.slotMs < LEAST_COST_MS
+      );
   };
   const retry = (call: OpenCall) => {
     call.refusedBy.add(call.target!.address);
@@ -215,7 +209,7 @@
       call.refusedBy.add(call.target!.address);
       const again = call.refusedBy.size < MOST_REFUSALS &&
         reason !== "expired" &&
-        (!arrived || spendRetry(budget, call.service, 1));
+        (!arrived || spendRetry(budget, call.service, false));
       if (again) send(call);
       else if (call.earlier !== null) reply(call, call.earlier);
       else if (call.attempts > 0) fail(call, reason, reason === "expired");
--- a/src/origin/retry_budget.ts
+++ b/src/origin/retry_budget.ts
@@ -1,8 +1,11 @@
-/** What is left for sending requests to a second server, by service. */
+/** What is left for sending requests once more. */
 export type RetryBudget = {
-  /** Retries that each request of a service adds. */
+  /** Repeats that each request of a service adds. */
   ratio: number;
-  /** Most retries that can be saved up. */
+  /** Most repeats of one service that can be saved up. */
   most: number;
+  /** Repeats left, by service, for requests that make no calls. */
   left: Map<string, number>;
+  /** The same for requests with calls, which are repeated at each level. */
+  leftNested: Map<string, number>;
 };
--- a/src/origin/spend_retry.ts
+++ b/src/origin/spend_retry.ts
@@ -1,13 +1,14 @@
 import type { RetryBudget } from "./retry_budget.ts";
 
-/** Takes `cost` repeats from the budget of a service; false if they aren't left. */
+/** Takes one repeat from the budget of a service; false if none is left. */
 export function spendRetry(
   budget: RetryBudget,
   service: string,
-  cost: number,
+  nested: boolean,
 ): boolean {
-  const left = budget.left.get(service) ?? budget.most;
-  if (left < cost) return false;
-  budget.left.set(service, left - cost);
+  const budgets = nested ? budget.leftNested : budget.left;
+  const left = budgets.get(service) ?? 0;
+  if (left < 1) return false;
+  budgets.set(service, left - 1);
   return true;
 }
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -60,10 +60,10 @@
 const DEPARTURE_WRITE_MS = 800;
 // Repeats that one daemon may save up, of the share that it would have of the
 // fleet's slack; the rest is room for daemons that come and go.
-const SLACK_SHARE = 0.5;
-// A request with nested calls is charged this many repeats.
-const SAVED_REPEATS = 4;
-const RATIO_SHARE = 0.5;
+const SLACK_SHARE = 0.4;
+// Repeats of one service that any daemon may save up.
+const SAVED_REPEATS = 2;
+const RATIO_SHARE = 0.75;
 
 /** Starts a daemon beside a backend server. */
 export function startSidecar(
@@ -178,6 +178,7 @@
     ratio: retries.ratio * RATIO_SHARE,
     most: SAVED_REPEATS,
     left: new Map<string, number>(),
+    leftNested: new Map<string, number>(),
   };
   const origin = createOrigin({
     caller: service,
