--- a/src/explain/explain_request.ts
+++ b/src/explain/explain_request.ts
@@ -2,6 +2,7 @@
 
 // What changed this long before a decision can have caused it.
 const CONTEXT_MS = 5_000;
+const MOST_CONTEXT = 10;
 // Events that change what a daemon believes of servers, peers or the store.
 const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   "started",
@@ -44,7 +45,7 @@
   const context = lines.filter(({ at, source, event }) =>
     sources.has(source) && CONTEXT_EVENTS.has(event) && at >= from &&
     at <= until
-  ).sort((a, b) => a.at - b.at);
+  ).sort((a, b) => a.at - b.at).slice(-MOST_CONTEXT);
   const last = decisions.findLast(({ event }) => event.startsWith("request-"));
   return { decisions, context, verdict: verdictOf(last) };
 }
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -38,6 +38,8 @@
 const LEAST_RETRY_SHARE = 0.2;
 // A service with less slot time in a request's graph is an error of estimate.
 const LEAST_COST_MS = 5;
+// A service that was full has room again this much below.
+const FULL_HYSTERESIS = 0.2;
 const SERVER_ERROR = 500;
 const DEADLINE_EXCEEDED = 504;
 
@@ -96,7 +98,7 @@
       nested: call.root === false,
       service,
       server: target?.serverId,
-      load: target?.load,
+      load: target === null ? undefined : round(target.load),
       attempts,
       turnedAway: call.refusedBy.size,
       ms: Math.round(ms),
@@ -297,7 +299,9 @@
       }
       updateAdmission(admission, loads(), now);
       for (const [service, allowance] of admission.services) {
-        const full = allowance.load >= BINDING_LOAD;
+        const full = fullServices.has(service)
+          ? allowance.load > BINDING_LOAD - FULL_HYSTERESIS
+          : allowance.load >= BINDING_LOAD;
         if (full === fullServices.has(service)) continue;
         if (full) fullServices.add(service);
         else fullServices.delete(service);
