--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -6,6 +6,7 @@
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
 import type { Link } from "./link.ts";
+import { readCallHead } from "./read_call_head.ts";
 import type { Message } from "./message.ts";
 
 /** A link that another daemon opened to this one. */
@@ -99,7 +100,7 @@
       return;
     }
     const request: CallRequest = {
-      ...head,
+      ...readCallHead(head),
       caller: entry.service,
       body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
       expiresAt: handlers.steadyTime() + remainingMs,
--- /dev/null
+++ b/src/mesh/call_head.ts
@@ -0,0 +1,20 @@
+import type { CallRequest } from "../calls/call_request.ts";
+
+/**
+ * A call without its body, its caller and its time: id, method, target, fields,
+ * route, server, nested, rank and repeatable. Names would be most of its bytes.
+ */
+export type CallHead = [
+  string,
+  string,
+  string,
+  string[],
+  string,
+  string,
+  boolean,
+  number,
+  boolean,
+];
+
+/** The fields that a call's head carries. */
+export type HeadOf = Omit<CallRequest, "body" | "caller" | "expiresAt">;
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -5,6 +5,7 @@
 import type { Entry } from "./entry.ts";
 import type { Mesh } from "./mesh.ts";
 import { openPeerLink } from "./open_peer_link.ts";
+import { writeCallHead } from "./write_call_head.ts";
 import type { Peer } from "./peer.ts";
 
 // A link without news is asked this often whether it still carries bytes.
@@ -125,11 +126,14 @@
         return () => {};
       }
       const stream = nextStream++;
-      const { body, expiresAt, caller: _caller, ...head } = request;
       peer.calls.set(stream, onOutcome);
       peer.sentSince++;
-      const remainingMs = Math.max(0, Math.floor(expiresAt - steadyTime()));
-      link.send(["request", stream, head, remainingMs, body]);
+      const remainingMs = Math.max(
+        0,
+        Math.floor(request.expiresAt - steadyTime()),
+      );
+      const head = writeCallHead(request);
+      link.send(["request", stream, head, remainingMs, request.body]);
       return () => {
         if (peer.calls.delete(stream)) link.send(["cancel", stream]);
       };
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,5 +1,5 @@
-import type { CallRequest } from "../calls/call_request.ts";
 import type { RouteReport } from "../calls/route_report.ts";
+import type { CallHead } from "./call_head.ts";
 import type { Entry } from "./entry.ts";
 
 /**
@@ -20,10 +20,11 @@
   | ["pong"]
   /** Load and mean run time in ms of the accepting side's backend server. */
   | ["load", number, number]
+  /** Stream, head, remaining ms, body. */
   | [
     "request",
     number,
-    Omit<CallRequest, "body" | "expiresAt" | "caller">,
+    CallHead,
     number,
     Uint8Array,
   ]
--- /dev/null
+++ b/src/mesh/write_call_head.ts
@@ -0,0 +1,19 @@
+import type { CallRequest } from "../calls/call_request.ts";
+import type { CallHead } from "./call_head.ts";
+
+/** Writes the head of a call for a message. */
+export function writeCallHead(request: CallRequest): CallHead {
+  const { id, method, target, fields, route, serverId } = request;
+  const { nested, rank, repeatable } = request;
+  return [
+    id,
+    method,
+    target,
+    fields as string[],
+    route,
+    serverId,
+    nested,
+    rank,
+    repeatable,
+  ];
+}
--- a/src/origin/choose_candidate.ts
+++ b/src/origin/choose_candidate.ts
@@ -7,8 +7,9 @@
 // What a server elsewhere must be less loaded by: going there costs time and
 // bytes between data centres.
 const REMOTE_PENALTY = 0.1;
-// A server elsewhere that is this much faster is worth the way while it has
-// plenty of room.
+// Where the own data centre's server takes most of the target latency, one
+// elsewhere that is this much faster is worth the way while it has room.
+const SLOW_SHARE = 0.5;
 const FASTER = 1.5;
 const FASTER_LOAD = 0.6;
 // A server with this many failures more than the best is passed over, but for
@@ -25,6 +26,7 @@
 export function chooseCandidate(
   candidates: readonly Candidate[],
   dataCentre: string,
+  targetLatencyMs: number,
   random: Random,
 ): Candidate | null {
   const sound = withoutFailing(candidates, random);
@@ -37,7 +39,8 @@
   const other = betterOfTwo(far, random);
   if (nearest === null || other === null) return nearest ?? other;
   if (nearest.load < SPILL_LOAD) {
-    const faster = other.load < FASTER_LOAD && other.runMs > 0 &&
+    const faster = nearest.runMs > SLOW_SHARE * targetLatencyMs &&
+      other.load < FASTER_LOAD && other.runMs > 0 &&
       nearest.runMs > FASTER * other.runMs;
     return faster ? other : nearest;
   }
--- a/src/origin/choose_candidate_test.ts
+++ b/src/origin/choose_candidate_test.ts
@@ -17,12 +17,13 @@
 
 function shares(
   candidates: Candidate[],
+  targetMs = 1_000,
   draws = 1_000,
 ): Record<string, number> {
   const random = seededRandom(7);
   const counts: Record<string, number> = {};
   for (let i = 0; i < draws; i++) {
-    const { address } = chooseCandidate(candidates, "a", random)!;
+    const { address } = chooseCandidate(candidates, "a", targetMs, random)!;
     counts[address] = (counts[address] ?? 0) + 1;
   }
   return Object.fromEntries(
@@ -31,7 +32,7 @@
 }
 
 test("no candidates, no choice", (t) => {
-  t.is(chooseCandidate([], "a", Math.random), null);
+  t.is(chooseCandidate([], "a", 100, Math.random), null);
 });
 
 test("stays in the own data centre while it has room", (t) => {
@@ -46,10 +47,17 @@
 });
 
 test("a slow data centre spills early to a faster one with room", (t) => {
+  const targetMs = 150;
   const slow = server("a1", { runMs: 88 });
-  t.deepEqual(shares([slow, server("b1", { runMs: 38 })]), { b1: 1 });
+  const fast = server("b1", { runMs: 38 });
+  t.deepEqual(shares([slow, fast], targetMs), { b1: 1 });
   const busy = server("b1", { runMs: 38, load: 0.7 });
-  t.deepEqual(shares([slow, busy]), { a1: 1 });
+  t.deepEqual(shares([slow, busy], targetMs), { a1: 1 });
+});
+
+test("a slower server that is fast enough is kept", (t) => {
+  const slow = server("a1", { runMs: 88 });
+  t.deepEqual(shares([slow, server("b1", { runMs: 38 })], 300), { a1: 1 });
 });
 
 test("a failing server is passed over but for probes", (t) => {
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -129,7 +129,12 @@
     const { request, route, service, refusedBy } = call;
     const candidates = forwarder.candidates(service)
       .filter(({ address }) => !refusedBy.has(address));
-    const target = chooseCandidate(candidates, dataCentre, random);
+    const target = chooseCandidate(
+      candidates,
+      dataCentre,
+      route.targetLatencyMs,
+      random,
+    );
     if (target === null) {
       if (call.earlier !== null) reply(call, call.earlier);
       else if (call.attempts > 0) fail(call, "no-other-server", false);
