--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -77,6 +77,7 @@
 ): Backend {
   let registration: Registration | null = null;
   let opened = false;
+  let wasAvailable = false;
   let reports = 0;
   let refusedConnections = 0;
   const gate = createGate(1);
@@ -266,6 +267,14 @@
     routeExpiringAt: (expiresAt) => routeExpiringAt(runs, expiresAt),
     tick() {
       const now = steadyTime();
+      if (available() !== wasAvailable) {
+        wasAvailable = available();
+        log("server-available", {
+          server: registration?.id,
+          available: wasAvailable,
+        });
+        onChange();
+      }
       expireJobs(gate, now);
       for (const { request, connection } of runs) {
         if (now > request.expiresAt + OVERDUE_MS) connection.close();
--- a/src/edge/create_client_connections.ts
+++ b/src/edge/create_client_connections.ts
@@ -13,6 +13,8 @@
 
 // Requests of one connection that run at once; the client's next bytes wait.
 const MOST_PIPELINED = 32;
+// A closed connection is dropped after this time.
+const LINGER_MS = 2_000;
 const CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
 type Limits = MessageLimits & { headTimeoutMs: number; idleTimeoutMs: number };
@@ -56,9 +58,7 @@
       headSince: null,
       sweep,
       closeIfIdle() {
-        if (client.slots.length === 0 && reader.partial() === "none") {
-          socket.end();
-        }
+        if (client.slots.length === 0 && reader.partial() === "none") hangUp();
       },
     };
     clients.add(client);
@@ -66,6 +66,15 @@
     let gone = false;
     let reading = true;
 
+    /**
+     * Reads nothing more, so that a request which crosses the close isn't
+     * passed on, and leaves the client time to read what was written.
+     */
+    const hangUp = () => {
+      reading = false;
+      socket.end();
+      setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    };
     const flush = () => {
       while (!gone && client.slots.length > 0) {
         const slot = client.slots[0]!;
@@ -79,10 +88,8 @@
           : protocol.formatReply(slot.reply, slot.request!, close);
         writeMessage(socket, head, body);
         client.activeAt = steadyTime();
-        if (close) {
-          reading = false;
-          socket.end();
-        } else if (client.slots.length === MOST_PIPELINED - 1) socket.resume();
+        if (close) hangUp();
+        else if (client.slots.length === MOST_PIPELINED - 1) socket.resume();
       }
     };
     const reject = (fault: ReadFault | "head-timeout") => {
@@ -137,7 +144,7 @@
       } else if (
         client.slots.length === 0 && now - client.activeAt > idleTimeoutMs
       ) {
-        if (partial === "none") socket.end();
+        if (partial === "none") hangUp();
         else socket.destroy();
       }
     }
--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -24,6 +24,7 @@
   entry: () => Entry;
   onHello: (accepted: Accepted, entry: Entry) => void;
   onConfig: (version: number, bytes: Uint8Array) => void;
+  onConfigWanted: (link: Link, version: number) => void;
   onClose: (accepted: Accepted) => void;
   /** Runs a call at the backend server; returns what cancels it. */
   serve: (
@@ -85,6 +86,9 @@
   },
   config: (_accepted, [, version, bytes], { onConfig }) =>
     onConfig(version, bytes),
+  "config-wanted"({ link }, [, version], { onConfigWanted }) {
+    onConfigWanted(link, version);
+  },
   ping(accepted) {
     accepted.link.send(["pong"]);
   },
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:net";
+import type { Random } from "../core/random.ts";
 import type { Logger } from "../core/logger.ts";
 import { acceptLink } from "./accept_link.ts";
 import { createPeer } from "./create_peer.ts";
@@ -35,6 +36,7 @@
     onConfig,
     ownLoad,
     onSilence,
+    random,
   }: {
     host: string;
     port: number;
@@ -49,6 +51,7 @@
     ownLoad: () => [number, number];
     /** A link went silent; other connections may have gone the same way. */
     onSilence: () => void;
+    random: Random;
   },
 ): Mesh {
   const peers = new Map<string, Peer>();
@@ -57,9 +60,9 @@
   let tickedAt = steadyTime();
   let closed = false;
 
-  const handOver = (link: Accepted["link"], entry: Entry) => {
+  const handOver = (link: Accepted["link"], version: number) => {
     const current = configuration();
-    if (current !== null && current.version > entry.routeVersion) {
+    if (current !== null && current.version > version) {
       link.send(["config", current.version, current.bytes]);
     }
   };
@@ -69,7 +72,7 @@
       log,
       hello: self,
       onConfig,
-      onEntry: ({ link, entry }) => handOver(link!, entry!),
+      onEntry: ({ link, entry }) => handOver(link!, entry!.routeVersion),
       onPeers: (addresses) => addresses.forEach(meet),
     });
   const meet = (address: string) => {
@@ -86,11 +89,12 @@
       entry: self,
       serve,
       onConfig,
+      onConfigWanted: handOver,
       onClose: (link) => accepted.delete(link),
       onHello({ link }, entry) {
         link.send(["load", ...ownLoad()]);
         if (entry.alone) link.send(["peers", [...peers.keys()]]);
-        handOver(link, entry);
+        handOver(link, entry.routeVersion);
         const known = peers.get(entry.address);
         if (known === undefined) meet(entry.address);
         else known.retryAt = 0;
@@ -109,6 +113,12 @@
     reportLoad(load, runMs) {
       for (const { link } of accepted) link.send(["load", load, runMs]);
     },
+    askForConfiguration(version) {
+      const linked = [...peers.values()].filter(({ link }) => link !== null);
+      if (linked.length === 0) return;
+      const peer = linked[Math.floor(random() * linked.length)]!;
+      peer.link!.send(["config-wanted", version]);
+    },
     share(version, bytes) {
       for (const { link, entry } of peers.values()) {
         if (entry !== null && entry.routeVersion === 0) {
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -13,7 +13,9 @@
   announce(entry: Entry): void;
   /** Tells all that have a link to this daemon how its server does. */
   reportLoad(load: number, runMs: number): void;
-  /** Hands a newer configuration to those known to be behind. */
+  /** Asks one daemon for the configuration if it is newer than a version. */
+  askForConfiguration(version: number): void;
+  /** Hands a configuration to those that had none when they were met. */
   share(version: number, bytes: Uint8Array): void;
   /**
    * Sends a call; the outcome comes once. Returns a function that cancels the
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -16,6 +16,8 @@
   | ["peers", string[]]
   /** A configuration with its version, as the operator wrote it. */
   | ["config", number, Uint8Array]
+  /** Asks for the configuration if it is newer than this version. */
+  | ["config-wanted", number]
   | ["ping"]
   | ["pong"]
   /** Load and mean run time in ms of the accepting side's backend server. */
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -82,6 +82,7 @@
   let routes: RoutesInForce | null = null;
   let configuration: { version: number; bytes: Uint8Array } | null = null;
   let stopping = false;
+  let storeReachable = true;
   let refusing = false;
 
   const metrics = createMetrics();
@@ -164,6 +165,7 @@
     configuration: () => configuration,
     onConfig: (_version, bytes) => take(bytes, "peer"),
     ownLoad: () => [backend.load(), backend.runMs()],
+    random,
     onSilence: () => store.reconnect(),
     serve(request, onOutcome) {
       if (!refusing) return backend.serve(request, onOutcome);
@@ -220,6 +222,7 @@
   }, TICK_MS);
   setInterval(() => {
     mesh.tick();
+    if (!storeReachable) mesh.askForConfiguration(configuration?.version ?? 0);
     connections.sweep();
     fadeCounts(graph, steadyTime());
     const daemons = 1 + mesh.peers.size;
@@ -243,6 +246,9 @@
     table: configurationRow.table,
     waitMs: WATCH_MS,
     log,
+    onReachable(reachable) {
+      storeReachable = reachable;
+    },
     onRow({ key, value, removed }) {
       if (key === configurationRow.key && !removed) take(value, "store");
     },
--- a/src/sidecar/watch_table.ts
+++ b/src/sidecar/watch_table.ts
@@ -13,12 +13,14 @@
  * ends. When the store has dropped its history, all rows are read again.
  */
 export async function watchTable(
-  { store, table, waitMs, log, onRow }: {
+  { store, table, waitMs, log, onReachable, onRow }: {
     store: RowStore;
     table: string;
     /** Longest time that one call waits for a change. */
     waitMs: number;
     log: Logger;
+    /** The store stopped answering, or answers again. */
+    onReachable: (reachable: boolean) => void;
     onRow: (row: { key: string; value: Buffer; removed: boolean }) => void;
   },
 ): Promise<never> {
@@ -29,7 +31,10 @@
       const page: Awaited<ReturnType<RowStore["changes"]>> = after === null
         ? await store.list(table)
         : await store.changes(table, after, waitMs);
-      if (failures > 0) log("store-regained", { table, failures });
+      if (failures > 0) {
+        log("store-regained", { table, failures });
+        onReachable(true);
+      }
       failures = 0;
       if (page === "history-gone") {
         log("store-history-gone", { table, after: after ?? 0 });
@@ -40,7 +45,10 @@
       for (const row of page.rows) onRow(row);
       if (page.rows.length > 0) await delay(GATHER_MS);
     } catch (fault) {
-      if (failures === 0) log("store-lost", { table, fault: String(fault) });
+      if (failures === 0) {
+        log("store-lost", { table, fault: String(fault) });
+        onReachable(false);
+      }
       await delay(Math.min(MOST_RETRY_MS, FIRST_RETRY_MS * 2 ** failures));
       failures++;
     }
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -203,6 +203,25 @@
   });
 });
 
+test("a daemon that the store turns away learns of changes from others", async (t) => {
+  await withSite(async (site) => {
+    const [cut, ...others] = site.vms;
+    site.store.refused.add(cut!.ip);
+    await until(
+      "store-lost",
+      () => cut!.lines.some((text) => text.includes("event=store-lost")),
+    );
+    site.configure(5, { listeners: [] });
+    for (const { ip } of [cut!, ...others]) {
+      await until(
+        "takes force",
+        async () => (await ask(ip, "front.example", "/safe/")).status === 404,
+      );
+    }
+    t.pass();
+  });
+});
+
 test("while the store is away, everything known goes on", async (t) => {
   await withSite(async (site) => {
     for (const fault of ["busy", "silent"] as const) {
