--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -222,6 +222,66 @@
   });
 });
 
+test("a paused daemon is passed over, and back when it goes on", async (t) => {
+  await withSite(async (site) => {
+    const [paused, ...others] = site.vms;
+    paused!.daemon.kill("SIGSTOP");
+    const during = await Promise.all(
+      others.flatMap(({ ip }) =>
+        Array.from(
+          { length: 10 },
+          () =>
+            ask(ip, "front.example", "/once/", { method: "POST", body: "a" }),
+        )
+      ),
+    );
+    await until(
+      "the link is given up",
+      () =>
+        others.every(({ lines }) =>
+          lines.some((text) =>
+            text.includes(`event=peer-lost peer=${paused!.name}`)
+          )
+        ),
+    );
+    const after = await Promise.all(
+      others.map(({ ip }) => ask(ip, "front.example", "/safe/")),
+    );
+    t.true(after.every((answer) => whole(answer, "front")));
+    paused!.daemon.kill("SIGCONT");
+    await until("serves again", () => serves(paused!));
+    for (const { id, status } of during) {
+      t.true(runsOf(site, id) <= 1);
+      if (status === 503) t.is(runsOf(site, id), 0);
+    }
+  });
+});
+
+test("a killed daemon costs others only what was under way to it", async (t) => {
+  await withSite(async (site) => {
+    const [killed, ...others] = site.vms;
+    for (const { app } of site.vms) app.workMs = 100;
+    const during = others.flatMap(({ ip }) =>
+      Array.from(
+        { length: 10 },
+        () => ask(ip, "front.example", "/once/", { method: "POST", body: "a" }),
+      )
+    );
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    killed!.daemon.kill("SIGKILL");
+    for (const { id, status } of await Promise.all(during)) {
+      t.true(runsOf(site, id) <= 1);
+      if (status === 503) t.is(runsOf(site, id), 0);
+    }
+    const after = await Promise.all(
+      others.map(({ ip }) => ask(ip, "front.example", "/safe/")),
+    );
+    t.true(after.every((answer) => whole(answer, "front")));
+    killed!.restart();
+    await until("serves again", () => serves(killed!));
+  });
+});
+
 test("while the store is away, everything known goes on", async (t) => {
   await withSite(async (site) => {
     for (const fault of ["busy", "silent"] as const) {
