--- a/src/backend/open_server_connection.ts
+++ b/src/backend/open_server_connection.ts
@@ -1,6 +1,6 @@
-import { connect } from "node:net";
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import { connectWithBuffer } from "../core/connect_with_buffer.ts";
 import { createMessageReader } from "../http1/create_message_reader.ts";
 import type { Message } from "../http1/message.ts";
 import { responseFraming } from "../http1/response_framing.ts";
@@ -39,7 +39,12 @@
   let closed = false;
   // After a response to another request nothing tells whether more follow.
   let reusable = true;
-  const socket = connect({ host, port, allowHalfOpen: true });
+  const socket = connectWithBuffer(
+    { host, port, allowHalfOpen: true },
+    (chunk) => {
+      if (!closed) reader.push(chunk);
+    },
+  );
   socket.setNoDelay(true);
 
   const settle = (outcome: CallOutcome) => {
@@ -108,9 +113,6 @@
   socket.on("connect", () => {
     connected = true;
   });
-  socket.on("data", (chunk: Buffer) => {
-    if (!closed) reader.push(chunk);
-  });
   const end = () => {
     reader.end();
     close(
--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -50,6 +50,7 @@
       },
     }),
   };
+  socket.on("data", accepted.link.receive);
   return accepted;
 }
 
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -49,13 +49,13 @@
       queue.push(length, payload);
       queuedBytes += LENGTH_BYTES + payload.length;
     },
+    receive(chunk) {
+      link.receivedAt = steadyTime();
+      if (!read(chunk)) close("oversized message");
+    },
     close: () => close("closed"),
   };
   socket.setNoDelay(true);
-  socket.on("data", (chunk: Buffer) => {
-    link.receivedAt = steadyTime();
-    if (!read(chunk)) close("oversized message");
-  });
   socket.on("error", ({ message }) => close(message));
   socket.on("close", () => close("connection closed"));
   return link;
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -4,6 +4,8 @@
 export type Link = {
   /** Queues a message; the messages of one turn of the loop go out together. */
   send(message: Message): void;
+  /** Takes the next bytes of the connection. */
+  receive(chunk: Buffer): void;
   close(): void;
   /** Steady time at which the last bytes came in, in ms. */
   receivedAt: number;
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -1,6 +1,6 @@
-import { connect } from "node:net";
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import { RouteReport } from "../calls/route_report.ts";
+import { connectWithBuffer } from "../core/connect_with_buffer.ts";
 import type { Logger } from "../core/logger.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
@@ -26,7 +26,10 @@
   const { steadyTime, log, hello } = handlers;
   const [host, port] = peer.address.split(":") as [string, string];
   peer.connecting = true;
-  const socket = connect({ host, port: Number(port), timeout: 0 });
+  const socket = connectWithBuffer(
+    { host, port: Number(port) },
+    (chunk) => link.receive(chunk),
+  );
   const timer = setTimeout(
     () => socket.destroy(new Error("connect timed out")),
     CONNECT_TIMEOUT_MS,
