--- a/src/mesh/read_call_head.ts
+++ b/src/mesh/read_call_head.ts
@@ -2,26 +2,15 @@
 
 /** Reads the head of a call from a message. */
 export function readCallHead(head: CallHead): HeadOf {
-  const [
-    id,
-    method,
-    target,
-    fields,
-    route,
-    serverId,
-    nested,
-    rank,
-    repeatable,
-  ] = head;
   return {
-    id,
-    method,
-    target,
-    fields,
-    route,
-    serverId,
-    nested,
-    rank,
-    repeatable,
+    id: head[0],
+    method: head[1],
+    target: head[2],
+    fields: head[3],
+    route: head[4],
+    serverId: head[5],
+    nested: head[6],
+    rank: head[7],
+    repeatable: head[8],
   };
 }
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -12,16 +12,18 @@
 import type { RoutesInForce } from "../routes/routes_in_force.ts";
 import { admit } from "./admit.ts";
 import type { Admission } from "./admission.ts";
-import { BINDING_LOAD } from "./binding_load.ts";
 import { chooseCandidate } from "./choose_candidate.ts";
 import { earnRetry } from "./earn_retry.ts";
 import type { Forwarder } from "./forwarder.ts";
+import { logFullServices } from "./log_full_services.ts";
+import { logReply } from "./log_reply.ts";
 import { noteRoot } from "./note_root.ts";
 import type { OpenCall } from "./open_call.ts";
 import type { Origin } from "./origin.ts";
 import type { Reply } from "./reply.ts";
 import { returnAfter } from "./return_after.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import { runTime } from "./run_time.ts";
 import { spendRetry } from "./spend_retry.ts";
 import { updateAdmission } from "./update_admission.ts";
 
@@ -38,8 +40,6 @@
 const LEAST_RETRY_SHARE = 0.2;
 // A service with less slot time in a request's graph is an error of estimate.
 const LEAST_COST_MS = 5;
-// A service that was full has room again this much below.
-const FULL_HYSTERESIS = 0.2;
 const SERVER_ERROR = 500;
 const DEADLINE_EXCEEDED = 504;
 
@@ -87,29 +87,9 @@
     const from = call.root === false ? "server" : "client";
     count(metrics, "requests", { from, outcome: answer.kind });
     record(metrics, "request_ms", { from }, ms);
-    logReply(call, answer, ms);
+    logReply(log, call, answer, { ms, version: routes()?.table.version });
     call.onReply(answer);
   };
-  const logReply = (call: OpenCall, answer: Reply, ms: number) => {
-    const { request, route, service, target, attempts } = call;
-    log(EVENTS[answer.kind], {
-      id: request.id,
-      route: route.name,
-      nested: call.root === false,
-      service,
-      server: target?.serverId,
-      load: target === null ? undefined : round(target.load),
-      attempts,
-      turnedAway: call.refusedBy.size,
-      ms: Math.round(ms),
-      version: routes()?.table.version,
-      status: answer.kind === "answer" ? answer.status : undefined,
-      reason: "reason" in answer ? answer.reason : undefined,
-      retryAfterMs: answer.kind === "refusal"
-        ? Math.round(answer.retryAfterMs)
-        : undefined,
-    });
-  };
 
   const refuse = (call: OpenCall, reason: string, roomMs: number) => {
     const now = steadyTime();
@@ -118,7 +98,7 @@
       reason,
       retryAfterMs: returnAfter({
         targetLatencyMs: call.route.targetLatencyMs,
-        runMs: graphTime(admission, call.route.name),
+        runMs: runTime(admission, call.route.name),
         remainingMs: Math.max(0, call.clientLeavesAt - now),
         roomMs,
       }, random),
@@ -303,49 +283,15 @@
         else fail(call, "expired", true);
       }
       updateAdmission(admission, loads(), now);
-      for (const [service, allowance] of admission.services) {
-        const full = fullServices.has(service)
-          ? allowance.load > BINDING_LOAD - FULL_HYSTERESIS
-          : allowance.load >= BINDING_LOAD;
-        if (full === fullServices.has(service)) continue;
-        if (full) fullServices.add(service);
-        else fullServices.delete(service);
-        log(full ? "service-full" : "service-has-room", {
-          service,
-          load: round(allowance.load),
-          used: round(allowance.used),
-          allowed: round(allowance.allowed),
-          order: allowance.order.join(","),
-        });
-      }
+      logFullServices(log, admission, fullServices);
     },
     open: () => open.size,
   };
 }
 
-const EVENTS: Record<Reply["kind"], string> = {
-  answer: "request-answered",
-  refusal: "request-refused",
-  failure: "request-failed",
-  "no-route": "request-unrouted",
-};
-
-/** Slot time of a root over all services, about the time that it takes. */
-function graphTime({ roots }: Admission, route: string): number {
-  let total = 0;
-  for (const { slotMs } of roots.get(route)?.costs ?? []) {
-    total = Math.max(total, slotMs);
-  }
-  return total;
-}
-
 /** Time kept for the final answer to reach its client, in ms. */
 function answerMargin(waitsMs: number): number {
   return Math.min(MOST_ANSWER_MARGIN_MS, waitsMs * ANSWER_MARGIN_SHARE);
 }
 
-function round(value: number): number {
-  return Math.round(100 * value) / 100;
-}
-
 function ignore(): void {}
--- a/test/platform_test.ts
+++ b/test/platform_test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
+import { spawnSync } from "node:child_process";
 import { once } from "node:events";
 import { get } from "node:http";
+import process from "node:process";
 import { ask } from "../platform/standin/ask.ts";
 import type { Answer } from "../platform/standin/ask.ts";
 import type { Site, Vm } from "../platform/standin/site.ts";
@@ -317,6 +319,20 @@
   });
 });
 
+test("a daemon without settings that hold ends with status 2", (t) => {
+  const { status, stderr } = spawnSync(
+    process.execPath,
+    ["target/sidecar.cjs"],
+    {
+      env: { ...process.env, NUTMEGMOOR_CONFIG: "package.json" },
+      encoding: "utf8",
+    },
+  );
+  t.is(status, 2);
+  t.regex(stderr, /settings: nodeName: /);
+  t.regex(stderr, /settings: platform: /);
+});
+
 test("the history of the store can be gone", async (t) => {
   await withSite(async (site) => {
     site.store.compact();
