Remove pushes of the configuration that repeat other paths, and dead parts of the mesh

A peer that had no configuration when it was met, as all have at a start, got every later one from each daemon over the link's whole life, and parsed each copy. A link that comes up hands over a newer configuration and a daemon without the store asks for one, so the push is dropped and an older copy is no longer parsed. Nothing used Mesh.close and Link.unsentBytes.

--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -39,7 +39,6 @@
   };
   const link: Link = {
     receivedAt: steadyTime(),
-    unsentBytes: () => socket.writableLength + queuedBytes,
     send(message) {
       if (closed) return;
       if (queue.length === 0) setImmediate(flush);
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -58,7 +58,6 @@
   const accepted = new Set<Accepted>();
   let nextStream = 0;
   let tickedAt = steadyTime();
-  let closed = false;
 
   const handOver = (link: Accepted["link"], version: number) => {
     const current = configuration();
@@ -76,7 +75,7 @@
       onPeers: (addresses) => addresses.forEach(meet),
     });
   const meet = (address: string) => {
-    if (closed || address === self().address || peers.has(address)) return;
+    if (address === self().address || peers.has(address)) return;
     const peer = createPeer(address);
     peers.set(address, peer);
     open(peer);
@@ -119,13 +118,6 @@
       const peer = linked[Math.floor(random() * linked.length)]!;
       peer.link!.send(["config-wanted", version]);
     },
-    share(version, bytes) {
-      for (const { link, entry } of peers.values()) {
-        if (entry !== null && entry.routeVersion === 0) {
-          link?.send(["config", version, bytes]);
-        }
-      }
-    },
     call(peer, request, onOutcome) {
       const { link } = peer;
       if (link === null) {
@@ -162,12 +154,6 @@
         } else if (!peer.connecting && now >= peer.retryAt) open(peer);
       }
     },
-    close() {
-      closed = true;
-      server.close();
-      for (const { link } of peers.values()) link?.close();
-      for (const { link } of accepted) link.close();
-    },
   };
 }
 
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -9,6 +9,4 @@
   close(): void;
   /** Steady time at which the last bytes came in, in ms. */
   receivedAt: number;
-  /** Bytes that the other side hasn't taken yet. */
-  unsentBytes(): number;
 };
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -15,8 +15,6 @@
   reportLoad(load: number, runMs: number): void;
   /** Asks one daemon for the configuration if it is newer than a version. */
   askForConfiguration(version: number): void;
-  /** Hands a configuration to those that had none when they were met. */
-  share(version: number, bytes: Uint8Array): void;
   /**
    * Sends a call; the outcome comes once. Returns a function that cancels the
    * call, after which no outcome comes.
@@ -28,5 +26,4 @@
   ): () => void;
   /** Checks links for silence and opens lost ones again. */
   tick(): void;
-  close(): void;
 };
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -144,7 +144,6 @@
       routes: table.routes.length,
       source,
     });
-    mesh.share(table.version, bytes);
     if (first) void adoptServer(table);
   };
   /** After a restart the server is known sooner than by its next heartbeat. */
@@ -163,7 +162,9 @@
     steadyTime,
     log,
     configuration: () => configuration,
-    onConfig: (_version, bytes) => take(bytes, "peer"),
+    onConfig(version, bytes) {
+      if (version > (configuration?.version ?? 0)) take(bytes, "peer");
+    },
     ownLoad: () => [backend.load(), backend.runMs()],
     random,
     onSilence: () => store.reconnect(),
