Say in the log what a stopping daemon still holds

The lines of a planned stop couldn't tell a request that was taken too late from one that was stuck elsewhere: they counted what was open, not whose it was, since when, or at which server. stopping, stop-waiting (each second) and stopped now do. The stop moves into a file of its own; what it does is unchanged.

--- a/src/backend/backend.ts
+++ b/src/backend/backend.ts
@@ -5,6 +5,7 @@
 import type { Departure } from "./departure.ts";
 import type { Probe } from "./probe.ts";
 import type { Registration } from "./registration.ts";
+import type { Work } from "./work.ts";
 
 /** The backend server beside this daemon, and the only way to it. */
 export type Backend = {
@@ -38,6 +39,5 @@
   routeExpiringAt(expiresAt: number): string | null;
   /** Ends what ran out of time, and closes connections idle for long. */
   tick(): void;
-  /** Requests that run or wait. */
-  inFlight(): number;
+  work(): Work;
 };
--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -283,7 +283,7 @@
       pool.sweep(now);
     },
     routeExpiringAt: (expiresAt) => routeExpiringAt(runs, expiresAt),
-    inFlight: () => gate.running + gate.waiting,
+    work: () => ({ running: gate.running, waiting: gate.waiting }),
   };
 }
 
--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -58,7 +58,7 @@
       tick() {},
       refuseClients() {},
       giveUp() {},
-      open: () => 0,
+      open: () => ({ clients: 0, nested: 0, oldest: null }),
     },
   });
   let accepted: Socket | null = null;
--- a/src/explain/explain_request.ts
+++ b/src/explain/explain_request.ts
@@ -7,6 +7,7 @@
 const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
   "started",
   "stopping",
+  "stop-waiting",
   "stopped",
   "reloaded",
   "peer-lost",
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -22,6 +22,7 @@
 import { makesNoCalls } from "./makes_no_calls.ts";
 import { noteRoot } from "./note_root.ts";
 import type { OpenCall } from "./open_call.ts";
+import { openWorkOf } from "./open_work_of.ts";
 import type { Origin } from "./origin.ts";
 import type { Reply } from "./reply.ts";
 import { returnAfter } from "./return_after.ts";
@@ -342,7 +343,7 @@
         else fail(call, "stopping", false);
       }
     },
-    open: () => open.size,
+    open: () => openWorkOf(open, steadyTime()),
   };
 }
 
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -1,3 +1,4 @@
+import type { OpenWork } from "./open_work.ts";
 import type { OriginRequest } from "./origin_request.ts";
 import type { Reply } from "./reply.ts";
 
@@ -16,5 +17,5 @@
   /** Ends all requests without a reply, before the process does. */
   giveUp(): void;
   /** Requests without a reply. */
-  open(): number;
+  open(): OpenWork;
 };
--- /dev/null
+++ b/src/sidecar/log_open_work.ts
@@ -0,0 +1,28 @@
+import type { Work } from "../backend/work.ts";
+import type { Logger } from "../core/logger.ts";
+import type { OpenWork } from "../origin/open_work.ts";
+
+/** Writes what a stopping daemon still has to finish, and for whom. */
+export function logOpenWork(
+  log: Logger,
+  event: "stopping" | "stop-waiting" | "stopped",
+  { elapsedMs, open, work }: {
+    /** Time since the stop began, in ms. */
+    elapsedMs: number;
+    open: OpenWork;
+    work: Work;
+  },
+): void {
+  const { clients, nested, oldest } = open;
+  log(event, {
+    ms: Math.round(elapsedMs),
+    clients,
+    nested,
+    running: work.running,
+    waiting: work.waiting,
+    oldest: oldest?.id,
+    route: oldest?.route,
+    server: oldest?.server,
+    oldestMs: oldest === null ? undefined : Math.round(oldest.ms),
+  });
+}
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -26,6 +26,7 @@
 import type { Sidecar } from "./sidecar.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
 import { startTicker } from "./start_ticker.ts";
+import { stopInOrder } from "./stop_in_order.ts";
 import { watchConfiguration } from "./watch_configuration.ts";
 
 // Deadlines are kept to within this time.
@@ -45,15 +46,6 @@
 };
 // Without the store, the server goes into use after this time.
 const JOIN_MS = 1_000;
-// Clients learn within two readiness checks, two seconds, that this daemon is
-// leaving; until then they still open connections.
-const CLIENTS_LEAVE_MS = 2_500;
-// Other daemons learn it at once; what was under way to here arrives within
-// this time.
-const PEERS_LEAVE_MS = 500;
-// Kept for closing before the process is killed.
-const STOP_MARGIN_MS = 400;
-const STOP_POLL_MS = 50;
 // A departure that the store doesn't take in time is acknowledged all the
 // same: this process keeps to it as long as it lives.
 const DEPARTURE_WRITE_MS = 800;
@@ -280,35 +272,22 @@
       store.reconnect(storeAddress);
     },
     async stop() {
-      const startedAt = steadyTime();
       stopping = true;
-      log("stopping", { open: origin.open(), running: backend.inFlight() });
-      connections.drain();
-      const elapsed = () => steadyTime() - startedAt;
-      const latest = gracePeriodMs - STOP_MARGIN_MS;
-      while (elapsed() < latest) {
-        await delay(STOP_POLL_MS);
-        // Until the clients have left, the server goes on serving others.
-        if (!leaving && elapsed() > CLIENTS_LEAVE_MS - PEERS_LEAVE_MS) {
+      await stopInOrder({
+        gracePeriodMs,
+        steadyTime,
+        log,
+        origin,
+        backend,
+        connections,
+        leave() {
           leaving = true;
           mesh.announce();
-        }
-        refusing ||= elapsed() > CLIENTS_LEAVE_MS;
-        if (elapsed() < CLIENTS_LEAVE_MS) continue;
-        // Those that haven't heard of it keep coming, and would never end.
-        origin.refuseClients();
-        connections.closeIdle();
-        if (origin.open() === 0 && backend.inFlight() === 0) break;
-      }
-      log("stopped", {
-        ms: Math.round(elapsed()),
-        open: origin.open(),
-        running: backend.inFlight(),
+        },
+        refusePeers() {
+          refusing = true;
+        },
       });
-      if (origin.open() > 0) {
-        origin.giveUp();
-        await delay(STOP_POLL_MS);
-      }
       server.close();
     },
   };
