Failing tests: a stopping daemon takes requests that outlast it

These show the same cause where it still acts: requests taken before clients are turned away, requests of other daemons, and nested calls are accepted, and servers told their full deadlines, though the daemon ends before.

--- /dev/null
+++ b/test/planned_stop_test.ts
@@ -0,0 +1,121 @@
+import test from "ava";
+import { once } from "node:events";
+import { ask } from "../platform/standin/ask.ts";
+import type { Site } from "../platform/standin/site.ts";
+import { smallSite } from "./small_site.ts";
+import { until } from "./until.ts";
+
+// Of the grace period of a daemon, what the platform's stand-in sets.
+const GRACE_PERIOD_MS = 6_000;
+// Ends within the grace period only if it begins when the stop does.
+const LONG_MS = 4_500;
+// Each test runs its site in a loopback network of its own.
+let net = 150;
+
+const { whole, runsOf } = smallSite;
+const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** A site with a long route; its daemons know how long it runs. */
+const withLongRoute = (kind: "safe" | "unsafe", run: (site: Site) => unknown) =>
+  smallSite.run(net++, async (site) => {
+    const rule = (name: string, service = "front") => ({
+      name,
+      kind,
+      targetLatencyS: 5,
+      priority: 1,
+      match: { prefix: `/${name}/` },
+      action: { service, timeoutS: 20, maxAttempts: 2 },
+    });
+    site.configure(2, {
+      listeners: [
+        { host: "front.example", rules: [rule("long"), rule("quick")] },
+        { host: "deep.example", rules: [rule("deep", "deep")] },
+      ],
+    });
+    for (const { ip } of site.vms) {
+      await until("in force", async () => (await long(ip)).status === 200);
+    }
+    for (const { app } of site.vms) app.workMs = LONG_MS;
+    const learned = site.vms.flatMap(({ ip }) =>
+      Array.from({ length: 4 }, () => long(ip))
+    );
+    await Promise.all(learned);
+    await run(site);
+  });
+
+const long = (ip: string) =>
+  ask(ip, "front.example", "/long/", { method: "POST", deadlineMs: 9_000 });
+
+// A stopping daemon took requests that outlast it, and cut them.
+test("a stopping daemon takes no request that outlasts it", async (t) => {
+  await withLongRoute("unsafe", async (site) => {
+    const vm = site.vms[0]!;
+    vm.daemon.kill("SIGTERM");
+    await pause(2_200);
+    const answers = await Promise.all([long(vm.ip), long(vm.ip), long(vm.ip)]);
+    for (const { id, status } of answers) {
+      t.is(status, 503);
+      t.is(runsOf(site, id), 0);
+    }
+    await once(vm.daemon, "exit");
+  });
+});
+
+// The server of a stopping daemon was given requests of others that outlast it.
+test("a stopping daemon's server takes no request that outlasts it", async (t) => {
+  await withLongRoute("unsafe", async (site) => {
+    // Of the same data centre, so that its requests go there first.
+    const [stopped, neighbour] = site.vms;
+    stopped!.daemon.kill("SIGTERM");
+    await pause(1_500);
+    const asked = Array.from({ length: 4 }, () => long(neighbour!.ip));
+    for (const answer of await Promise.all(asked)) {
+      t.true(whole(answer, "front"), `${answer.status}`);
+    }
+    await once(stopped!.daemon, "exit");
+  });
+});
+
+// A server wasn't told that its time ends with the daemon's.
+test("a stopping daemon tells servers what time is left", async (t) => {
+  await withLongRoute("safe", async (site) => {
+    const vm = site.vms[0]!;
+    for (const { app } of site.vms) app.workMs = 5;
+    vm.daemon.kill("SIGTERM");
+    const stoppedAt = performance.now();
+    await pause(400);
+    const quick = await ask(vm.ip, "front.example", "/quick/", {
+      deadlineMs: 60_000,
+    });
+    t.true(whole(quick, "front"));
+    const { app } = site.vms.find(({ app }) => app.runs.has(quick.id))!;
+    const toldMs = Number(app.lastHeaders["request-deadline"]);
+    const leftMs = GRACE_PERIOD_MS - (performance.now() - stoppedAt);
+    t.true(toldMs < leftMs, `${toldMs} of ${leftMs}`);
+    await once(vm.daemon, "exit");
+  });
+});
+
+// A call that a server makes late in a stop was cut with its daemon.
+test("a stopping daemon tells the servers of nested calls", async (t) => {
+  await withLongRoute("safe", async (site) => {
+    const vm = site.vms[0]!;
+    for (const { app } of site.vms) app.workMs = 600;
+    const outer = ask(
+      vm.ip,
+      "front.example",
+      "/quick/?call=deep.example/deep/",
+      { deadlineMs: 60_000 },
+    );
+    await pause(200);
+    vm.daemon.kill("SIGTERM");
+    const stoppedAt = performance.now();
+    const { id, status } = await outer;
+    t.is(status, 200);
+    const { app } = site.vms.find(({ app }) => app.runs.has(`${id}-n`))!;
+    const toldMs = Number(app.lastHeaders["request-deadline"]);
+    const startedMs = app.startedAt.get(`${id}-n`)! - stoppedAt;
+    t.true(toldMs < GRACE_PERIOD_MS - startedMs, `${toldMs} at ${startedMs}`);
+    await once(vm.daemon, "exit");
+  });
+});
