Take no request that outlasts a stopping daemon

Callers saw LOST: requests taken 3.1 and 4.1 s into a stop were cut 5.6 s into it, 0.4 s before the kill. The cause behind both: what a stopping daemon accepts wasn't bound to the time it has left. Requests taken in the first 2.5 s with long runs, requests of other daemons for its server, and nested calls were accepted with their own deadlines, which servers were told in full, and cut with the process.

A planned stop now has a time at which runs end, known from the signal on. The origin and the gate refuse unrun what may take longer, by its mean time so far; waiting requests of others are turned away while another server can still run them; servers are told no later deadline, so that they end their runs themselves, also those of nested calls.

Ruled out: a request stuck at another daemon (both were cut at the same age of the stop, whatever they waited for); a request that crossed an idle close (one had reached a server).

--- a/src/backend/backend.ts
+++ b/src/backend/backend.ts
@@ -35,6 +35,11 @@
     request: CallRequest,
     onOutcome: (outcome: CallOutcome, report: CallReport) => void,
   ): () => void;
+  /**
+   * Runs must end by this steady time in ms: the server is told so, and
+   * requests that may take longer are turned away.
+   */
+  limitRuns(endsAt: number): void;
   /** Route of the running request that expires at a time, if there is one. */
   routeExpiringAt(expiresAt: number): string | null;
   /** Ends what ran out of time, and closes connections idle for long. */
--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -1,7 +1,9 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallReport } from "../calls/call_report.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import { outlasts } from "../calls/outlasts.ts";
 import type { Logger } from "../core/logger.ts";
+import { moveMean } from "../core/move_mean.ts";
 import type { Random } from "../core/random.ts";
 import type { CallGraph } from "../costs/call_graph.ts";
 import { costsOf } from "../costs/costs_of.ts";
@@ -9,7 +11,7 @@
 import { noteCaller } from "../costs/note_caller.ts";
 import { noteEnd } from "../costs/note_end.ts";
 import { noteRun } from "../costs/note_run.ts";
-import { noteSlotTime } from "../costs/note_slot_time.ts";
+
 import { adopt } from "./adopt.ts";
 import type { Backend } from "./backend.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
@@ -81,6 +83,7 @@
   let wasAvailable = false;
   let reports = 0;
   let refusedConnections = 0;
+  let runsEndAt = Infinity;
   const gate = createGate(1);
   const runs = new Set<Run>();
   const pool = createConnectionPool({ address, protocol, steadyTime });
@@ -125,10 +128,12 @@
   };
 
   function start(
-    request: CallRequest,
+    asked: CallRequest,
     onOutcome: (outcome: CallOutcome, report: CallReport) => void,
   ): Run {
     const startedAt = steadyTime();
+    const expiresAt = Math.min(asked.expiresAt, runsEndAt);
+    const request = { ...asked, expiresAt };
     noteRun(graph, request.route, request.repeated);
     const run: Run = { request, connection: pool.take(), cancelled: false };
     runs.add(run);
@@ -145,7 +150,7 @@
         }
       }
       if (served) {
-        noteSlotTime(graph, request.route, now - startedAt);
+        moveMean(graph.slotMs, request.route, now - startedAt);
       } else if (outcome.kind === "not-run") {
         if (outcome.reason === "connect-failed") noteRefusedConnection();
         if (outcome.reason === "other-server") noteOtherServer(request);
@@ -233,11 +238,13 @@
       if (registration.id !== request.serverId) return refuse("other-server");
       if (registration.leaving) return refuse("leaving");
       if (!opened || !alive(steadyTime())) return refuse("no-server");
+      const runMs = graph.slotMs.get(request.route) ?? gate.meanRunMs;
+      if (outlasts(steadyTime(), runMs, runsEndAt)) return refuse("leaving");
       let run: Run | null = null;
       const job: Job = {
         flow: request.route,
         weight: flowWeight(request.nested, request.rank),
-        runMs: graph.slotMs.get(request.route) ?? gate.meanRunMs,
+        runMs,
         expiresAt: request.expiresAt,
         start() {
           if (registration?.id === request.serverId && !registration.leaving) {
@@ -276,12 +283,15 @@
         });
         onChange();
       }
-      expireJobs(gate, now);
+      expireJobs(gate, now, runsEndAt);
       for (const { request, connection } of runs) {
         if (now > request.expiresAt + OVERDUE_MS) connection.close();
       }
       pool.sweep(now);
     },
+    limitRuns(endsAt) {
+      runsEndAt = endsAt;
+    },
     routeExpiringAt: (expiresAt) => routeExpiringAt(runs, expiresAt),
     work: () => ({ running: gate.running, waiting: gate.waiting }),
   };
--- a/src/backend/gate_test.ts
+++ b/src/backend/gate_test.ts
@@ -65,13 +65,26 @@
   const gate = createGate(1);
   offerJob(gate, job(events, "a"), 0);
   offerJob(gate, job(events, "b", { expiresAt: 200 }), 0);
-  expireJobs(gate, 160);
+  expireJobs(gate, 160, Infinity);
   t.deepEqual(events, ["start a"]);
-  expireJobs(gate, 180);
+  expireJobs(gate, 180, Infinity);
   t.deepEqual(events, ["start a", "expired b"]);
   t.is(gate.waiting, 0);
 });
 
+// Jobs that waited at a stopping daemon were lost with it.
+test("turns away waiting jobs that may outlast the daemon", (t) => {
+  const events: string[] = [];
+  const gate = createGate(1);
+  offerJob(gate, job(events, "a"), 0);
+  offerJob(gate, job(events, "b", { expiresAt: 10_000 }), 0);
+  expireJobs(gate, 100, 1_000);
+  t.deepEqual(events, ["start a"]);
+  expireJobs(gate, 990, 1_000);
+  t.deepEqual(events, ["start a", "leaving b"]);
+  t.is(gate.waiting, 0);
+});
+
 test("a withdrawn job never starts", (t) => {
   const events: string[] = [];
   const gate = createGate(1);
@@ -111,7 +124,7 @@
             offerJob(gate, added, now);
           } else if (kind === "finish" && gate.running > 0) {
             finishJob(gate, ms, now);
-          } else if (kind === "expire") expireJobs(gate, now);
+          } else if (kind === "expire") expireJobs(gate, now, Infinity);
           else if (kind === "withdraw") {
             const waiting = offered.find((one) => !settled.has(one));
             if (waiting && withdrawJob(gate, waiting)) settle(waiting);
--- a/src/backend/job.ts
+++ b/src/backend/job.ts
@@ -9,5 +9,5 @@
   /** Steady time at which the request is given up, in ms. */
   expiresAt: number;
   start: () => void;
-  refuse: (reason: "overload" | "expired", waitMs: number) => void;
+  refuse: (reason: "overload" | "expired" | "leaving", waitMs: number) => void;
 };
--- /dev/null
+++ b/src/calls/outlasts.ts
@@ -0,0 +1,10 @@
+// Runs vary around their mean; few take longer than this many times as long.
+const LONGEST_RUN = 1.5;
+
+/**
+ * Whether a run that starts now may not end by `endsAt`. Times are steady ms;
+ * `runMs` is the mean run time.
+ */
+export function outlasts(now: number, runMs: number, endsAt: number): boolean {
+  return now + LONGEST_RUN * runMs > endsAt;
+}
--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -56,6 +56,7 @@
         };
       },
       tick() {},
+      limitRuns() {},
       refuseClients() {},
       giveUp() {},
       open: () => ({ clients: 0, nested: 0, oldest: null }),
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -1,6 +1,8 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallReport } from "../calls/call_report.ts";
+import { outlasts } from "../calls/outlasts.ts";
 import type { Logger } from "../core/logger.ts";
+import { moveMean } from "../core/move_mean.ts";
 import type { Random } from "../core/random.ts";
 import type { CallGraph } from "../costs/call_graph.ts";
 import { noteCall } from "../costs/note_call.ts";
@@ -92,6 +94,9 @@
   const open = new Set<OpenCall>();
   const fullServices = new Set<string>();
   let refusing = false;
+  let runsEndAt = Infinity;
+  // Mean time to an answer by route, in ms.
+  const answerMs = new Map<string, number>();
 
   const reply = (call: OpenCall, answer: Reply) => {
     if (!open.delete(call)) return;
@@ -99,6 +104,9 @@
     const from = call.root === false ? "server" : "client";
     count(metrics, "requests", { from, outcome: answer.kind });
     record(metrics, "request_ms", { from }, ms);
+    if (answer.kind === "answer" && answer.status < SERVER_ERROR) {
+      moveMean(answerMs, call.route.name, ms);
+    }
     logReply(log, call, answer, { ms, version: routes()?.table.version });
     call.onReply(answer);
     if (call.root === false) {
@@ -151,7 +159,7 @@
       rank: route.rank,
       repeatable: route.repeatable,
       repeated: call.arrived ? 1 : call.inherited,
-      expiresAt: call.expiresAt,
+      expiresAt: Math.min(call.expiresAt, runsEndAt),
     }, (outcome, report) => {
       if (!open.has(call)) return;
       learn(call, report);
@@ -204,7 +212,8 @@
     const { route, service, attempts, expiresAt } = call;
     if (!route.repeatable || attempts >= route.maxAttempts) return false;
     const least = route.targetLatencyMs * LEAST_RETRY_SHARE;
-    if (expiresAt - steadyTime() < least) return false;
+    const endsAt = Math.min(expiresAt, runsEndAt);
+    if (endsAt - steadyTime() < least) return false;
     const costs = graph.callees.get(route.name) ??
       admission.roots.get(route.name)?.costs ?? [];
     if (makesNoCalls(costs, service)) {
@@ -296,7 +305,9 @@
         onReply,
       };
       open.add(call);
-      if (refusing && root !== false) {
+      const turnedAway = refusing ||
+        outlasts(now, answerMs.get(route.name) ?? 0, runsEndAt);
+      if (turnedAway && root !== false) {
         refuse(call, "leaving", RESTART_MS);
         return ignore;
       }
@@ -333,6 +344,9 @@
       }
       refresh(now);
     },
+    limitRuns(endsAt) {
+      runsEndAt = endsAt;
+    },
     refuseClients() {
       refusing = true;
     },
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -12,6 +12,11 @@
   start(request: OriginRequest, onReply: (reply: Reply) => void): () => void;
   /** Gives up requests whose time is over, and updates the admission. */
   tick(): void;
+  /**
+   * Runs must end by this steady time in ms: servers are told so, and requests
+   * of clients that may take longer are refused.
+   */
+  limitRuns(endsAt: number): void;
   /** From now on turns clients away; calls of the own server go on. */
   refuseClients(): void;
   /** Ends all requests without a reply, before the process does. */
--- /dev/null
+++ b/src/sidecar/plan_stop_test.ts
@@ -0,0 +1,33 @@
+import test from "ava";
+import fc from "fast-check";
+import { planStop } from "./plan_stop.ts";
+
+test("clients have two readiness checks to leave", (t) => {
+  t.true(planStop(0, 6_000).refuseAt > 2_000);
+  t.true(planStop(0, 30_000).refuseAt < 3_000);
+});
+
+test("the steps of a stop come in order and before the kill", (t) => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1_000, max: 60_000 }),
+      fc.integer({ min: 0, max: 1_000_000 }),
+      (graceMs, startedAt) => {
+        const { leaveAt, refuseAt, runsEndAt, endAt } = planStop(
+          startedAt,
+          graceMs,
+        );
+        return startedAt <= leaveAt && leaveAt <= refuseAt &&
+          refuseAt < runsEndAt && runsEndAt < endAt &&
+          endAt < startedAt + graceMs;
+      },
+    ),
+  );
+  t.pass();
+});
+
+test("a run is cut only in the last sixth of the grace period", (t) => {
+  for (const graceMs of [2_000, 3_000, 6_000, 10_000, 30_000]) {
+    t.true(planStop(0, graceMs).endAt >= graceMs * 5 / 6, `${graceMs}`);
+  }
+});
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -4,15 +4,8 @@
 import type { Origin } from "../origin/origin.ts";
 import { delay } from "./delay.ts";
 import { logOpenWork } from "./log_open_work.ts";
+import { planStop } from "./plan_stop.ts";
 
-// Clients learn within two readiness checks, two seconds, that this daemon is
-// leaving; until then they still open connections.
-const CLIENTS_LEAVE_MS = 2_500;
-// Other daemons learn it at once; what was under way to here arrives within
-// this time.
-const PEERS_LEAVE_MS = 500;
-// Kept for closing before the process is killed.
-const STOP_MARGIN_MS = 400;
 const POLL_MS = 50;
 // How often the log says what the stop still waits for.
 const PROGRESS_MS = 1_000;
@@ -43,10 +36,10 @@
   },
 ): Promise<void> {
   const startedAt = steadyTime();
-  const elapsed = () => steadyTime() - startedAt;
+  const plan = planStop(startedAt, gracePeriodMs);
   const report = (event: "stopping" | "stop-waiting" | "stopped") =>
     logOpenWork(log, event, {
-      elapsedMs: elapsed(),
+      elapsedMs: steadyTime() - startedAt,
       open: origin.open(),
       work: backend.work(),
     });
@@ -57,22 +50,26 @@
   };
 
   report("stopping");
+  origin.limitRuns(plan.runsEndAt);
+  backend.limitRuns(plan.runsEndAt);
   connections.drain();
   let leaving = false;
   let refusing = false;
-  let reportedAt = 0;
-  while (elapsed() < gracePeriodMs - STOP_MARGIN_MS) {
+  let reportedAt = startedAt;
+  let now = startedAt;
+  while (now < plan.endAt) {
     await delay(POLL_MS);
-    if (elapsed() - reportedAt > PROGRESS_MS) {
-      reportedAt = elapsed();
+    now = steadyTime();
+    if (now - reportedAt > PROGRESS_MS) {
+      reportedAt = now;
       report("stop-waiting");
     }
     // Until the clients have left, the server goes on serving others.
-    if (!leaving && elapsed() > CLIENTS_LEAVE_MS - PEERS_LEAVE_MS) {
+    if (!leaving && now > plan.leaveAt) {
       leaving = true;
       leave();
     }
-    if (elapsed() < CLIENTS_LEAVE_MS) continue;
+    if (now < plan.refuseAt) continue;
     if (!refusing) {
       refusing = true;
       refusePeers();
--- a/test/planned_stop_test.ts
+++ b/test/planned_stop_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { once } from "node:events";
 import { ask } from "../platform/standin/ask.ts";
-import type { Site } from "../platform/standin/site.ts";
+import type { Site, Vm } from "../platform/standin/site.ts";
 import { smallSite } from "./small_site.ts";
 import { until } from "./until.ts";
 
@@ -10,12 +10,12 @@
 // Ends within the grace period only if it begins when the stop does.
 const LONG_MS = 4_500;
 // Each test runs its site in a loopback network of its own.
-let net = 150;
+let net = 170;
 
 const { whole, runsOf } = smallSite;
 const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** A site with a long route; its daemons know how long it runs. */
+/** A site with two routes to one service, of which one will run long. */
 const withLongRoute = (kind: "safe" | "unsafe", run: (site: Site) => unknown) =>
   smallSite.run(net++, async (site) => {
     const rule = (name: string, service = "front") => ({
@@ -33,23 +33,31 @@
       ],
     });
     for (const { ip } of site.vms) {
-      await until("in force", async () => (await long(ip)).status === 200);
+      await until("in force", async () => (await quick(ip)).status === 200);
     }
-    for (const { app } of site.vms) app.workMs = LONG_MS;
-    const learned = site.vms.flatMap(({ ip }) =>
-      Array.from({ length: 4 }, () => long(ip))
-    );
-    await Promise.all(learned);
     await run(site);
   });
 
+async function ended({ daemon }: Vm): Promise<void> {
+  if (daemon.exitCode === null) await once(daemon, "exit");
+}
+
+/** The daemons learn how long a request takes. */
+async function learn(site: Site): Promise<void> {
+  for (const { app } of site.vms) app.workMs = LONG_MS;
+  await Promise.all(site.vms.map(({ ip }) => long(ip)));
+}
+
 const long = (ip: string) =>
   ask(ip, "front.example", "/long/", { method: "POST", deadlineMs: 9_000 });
+const quick = (ip: string) =>
+  ask(ip, "front.example", "/quick/", { deadlineMs: 60_000 });
 
 // A stopping daemon took requests that outlast it, and cut them.
 test("a stopping daemon takes no request that outlasts it", async (t) => {
   await withLongRoute("unsafe", async (site) => {
     const vm = site.vms[0]!;
+    await learn(site);
     vm.daemon.kill("SIGTERM");
     await pause(2_200);
     const answers = await Promise.all([long(vm.ip), long(vm.ip), long(vm.ip)]);
@@ -57,7 +65,7 @@
       t.is(status, 503);
       t.is(runsOf(site, id), 0);
     }
-    await once(vm.daemon, "exit");
+    await ended(vm);
   });
 });
 
@@ -66,13 +74,14 @@
   await withLongRoute("unsafe", async (site) => {
     // Of the same data centre, so that its requests go there first.
     const [stopped, neighbour] = site.vms;
+    await learn(site);
     stopped!.daemon.kill("SIGTERM");
     await pause(1_500);
     const asked = Array.from({ length: 4 }, () => long(neighbour!.ip));
     for (const answer of await Promise.all(asked)) {
       t.true(whole(answer, "front"), `${answer.status}`);
     }
-    await once(stopped!.daemon, "exit");
+    await ended(stopped!);
   });
 });
 
@@ -84,15 +93,13 @@
     vm.daemon.kill("SIGTERM");
     const stoppedAt = performance.now();
     await pause(400);
-    const quick = await ask(vm.ip, "front.example", "/quick/", {
-      deadlineMs: 60_000,
-    });
-    t.true(whole(quick, "front"));
-    const { app } = site.vms.find(({ app }) => app.runs.has(quick.id))!;
+    const answer = await quick(vm.ip);
+    t.true(whole(answer, "front"));
+    const { app } = site.vms.find(({ app }) => app.runs.has(answer.id))!;
     const toldMs = Number(app.lastHeaders["request-deadline"]);
     const leftMs = GRACE_PERIOD_MS - (performance.now() - stoppedAt);
     t.true(toldMs < leftMs, `${toldMs} of ${leftMs}`);
-    await once(vm.daemon, "exit");
+    await ended(vm);
   });
 });
 
@@ -116,6 +123,6 @@
     const toldMs = Number(app.lastHeaders["request-deadline"]);
     const startedMs = app.startedAt.get(`${id}-n`)! - stoppedAt;
     t.true(toldMs < GRACE_PERIOD_MS - startedMs, `${toldMs} at ${startedMs}`);
-    await once(vm.daemon, "exit");
+    await ended(vm);
   });
 });
