Wait for the signal handler in the test of a reload at the start

The test waited 0.7 s for the runtime to start before it sent SIGHUP; beside other work (load 28) that wasn't enough once, and the signal ended a process that hadn't run a line. It now waits until the kernel tells that the process catches the signal, while the settings still block it. Without the handler it fails as before.

--- a/test/signals_test.ts
+++ b/test/signals_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import { spawn, spawnSync } from "node:child_process";
+import { type ChildProcess, spawn, spawnSync } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -225,7 +225,7 @@
     stdio: "ignore",
   });
   const ended = once(daemon, "exit");
-  await new Promise((resolve) => setTimeout(resolve, 700));
+  await until("the daemon catches the signal", () => catchesReload(daemon));
   daemon.kill("SIGHUP");
   await new Promise((resolve) => setTimeout(resolve, 200));
   t.is(daemon.signalCode, null);
@@ -233,3 +233,10 @@
   await ended;
   rmSync(folder, { recursive: true });
 });
+
+/** Whether a process handles SIGHUP, by the mask that the kernel tells. */
+function catchesReload({ pid }: ChildProcess): boolean {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)![1]!;
+  return (BigInt(`0x${mask}`) & 1n) === 1n;
+}
