Keep the last server of a service in use while its daemon stops

Each stop takes its server out of use after 2 s, and it's back about 2 s later. Where operators stop a daemon a second, all servers of a service can be out at once.

A stopping daemon now keeps its server in use until another one of the service is in use too, at most until the runs of the rest of its grace period need the time. It ends as before once nothing is in flight.

Test: 'stops that overlap leave a service without a server' fails before (503 for the requests of about a second), passes now.

--- a/src/sidecar/plan_stop.ts
+++ b/src/sidecar/plan_stop.ts
@@ -6,6 +6,8 @@
 // Other daemons learn it at once; what was under way to here arrives within
 // this time.
 const PEERS_LEAVE_MS = 500;
+// Time for runs to end after the last server of a service has left.
+const LAST_RUNS_MS = 1_000;
 // Kept for closing before the process is killed.
 const CLOSE_MS = 400;
 // An answer takes a few ms on its way; the rest is room for a busy daemon.
@@ -20,10 +22,13 @@
   const refuseMs = Math.min(CLIENTS_LEAVE_MS, SERVING_SHARE * gracePeriodMs);
   const endMs = gracePeriodMs -
     Math.min(CLOSE_MS, CLOSING_SHARE * gracePeriodMs);
+  const leaveMs = Math.max(0, refuseMs - PEERS_LEAVE_MS);
+  const runsEndMs = endMs - ANSWER_MS;
   return {
-    leaveAt: startedAt + Math.max(0, refuseMs - PEERS_LEAVE_MS),
+    leaveAt: startedAt + leaveMs,
     refuseAt: startedAt + refuseMs,
-    runsEndAt: startedAt + endMs - ANSWER_MS,
+    leaveLatestAt: startedAt + Math.max(leaveMs, runsEndMs - LAST_RUNS_MS),
+    runsEndAt: startedAt + runsEndMs,
     endAt: startedAt + endMs,
   };
 }
--- a/src/sidecar/plan_stop_test.ts
+++ b/src/sidecar/plan_stop_test.ts
@@ -13,12 +13,11 @@
       fc.integer({ min: 1_000, max: 60_000 }),
       fc.integer({ min: 0, max: 1_000_000 }),
       (graceMs, startedAt) => {
-        const { leaveAt, refuseAt, runsEndAt, endAt } = planStop(
-          startedAt,
-          graceMs,
-        );
+        const plan = planStop(startedAt, graceMs);
+        const { leaveAt, refuseAt, leaveLatestAt, runsEndAt, endAt } = plan;
         return startedAt <= leaveAt && leaveAt <= refuseAt &&
-          refuseAt < runsEndAt && runsEndAt < endAt &&
+          refuseAt < runsEndAt && leaveAt <= leaveLatestAt &&
+          leaveLatestAt < runsEndAt && runsEndAt < endAt &&
           endAt < startedAt + graceMs;
       },
     ),
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -280,6 +280,7 @@
         origin,
         backend,
         connections,
+        othersServe: () => (mesh.index().serving.get(service) ?? []).length > 0,
         leave() {
           leaving = true;
           mesh.announce();
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -3,10 +3,14 @@
 import type { ClientConnections } from "../edge/client_connections.ts";
 import type { Origin } from "../origin/origin.ts";
 import { delay } from "./delay.ts";
+import { isLeaveDue } from "./is_leave_due.ts";
 import { logOpenWork } from "./log_open_work.ts";
 import { planStop } from "./plan_stop.ts";
 
 const POLL_MS = 50;
+// Other daemons learn at once that the server leaves; what was under way to
+// here arrives within this time.
+const PEERS_LEAVE_MS = 500;
 // How often the log says what the stop still waits for.
 const PROGRESS_MS = 1_000;
 
@@ -19,6 +23,7 @@
     origin,
     backend,
     connections,
+    othersServe,
     leave,
     refusePeers,
   }: {
@@ -29,6 +34,8 @@
     origin: Origin;
     backend: Backend;
     connections: ClientConnections;
+    /** Whether other servers of the own service are in use. */
+    othersServe: () => boolean;
     /** Tells the other daemons that the own server takes no more requests. */
     leave: () => void;
     /** From now on requests of other daemons are turned away. */
@@ -53,8 +60,9 @@
   origin.limitRuns(plan.runsEndAt);
   backend.limitRuns(plan.runsEndAt);
   connections.drain();
-  let leaving = false;
-  let refusing = false;
+  let leftAt = Infinity;
+  let refusingPeers = false;
+  let refusingClients = false;
   let reportedAt = startedAt;
   let now = startedAt;
   while (now < plan.endAt) {
@@ -64,20 +72,22 @@
       reportedAt = now;
       report("stop-waiting");
     }
-    // Until the clients have left, the server goes on serving others.
-    if (!leaving && now > plan.leaveAt) {
-      leaving = true;
+    if (leftAt === Infinity && isLeaveDue(plan, now, othersServe())) {
+      leftAt = now;
       leave();
     }
-    if (now < plan.refuseAt) continue;
-    if (!refusing) {
-      refusing = true;
+    if (!refusingPeers && now - leftAt > PEERS_LEAVE_MS) {
+      refusingPeers = true;
       refusePeers();
+    }
+    if (now < plan.refuseAt) continue;
+    if (!refusingClients) {
+      refusingClients = true;
       // Those that haven't heard of it keep coming, and would never end.
       origin.refuseClients();
     }
     connections.closeIdle();
-    if (isIdle()) break;
+    if (refusingPeers && isIdle()) break;
   }
   report("stopped");
   const { clients, nested } = origin.open();
--- a/src/sidecar/stop_plan.ts
+++ b/src/sidecar/stop_plan.ts
@@ -1,9 +1,11 @@
 /** Steady times of a planned stop, in ms. */
 export type StopPlan = {
-  /** Other daemons are told that the own server leaves. */
+  /** The own server leaves if others of its service are in use. */
   leaveAt: number;
-  /** Clients and other daemons are turned away. */
+  /** Clients are turned away. */
   refuseAt: number;
+  /** The own server leaves in any case. */
+  leaveLatestAt: number;
   /** Runs end, so that their answers still arrive. */
   runsEndAt: number;
   /** The process ends, whatever is open. */
--- a/test/planned_stop_test.ts
+++ b/test/planned_stop_test.ts
@@ -9,6 +9,8 @@
 const GRACE_PERIOD_MS = 6_000;
 // Ends within the grace period only if it begins when the stop does.
 const LONG_MS = 4_500;
+// Between the end of a process and the start of the next.
+const RESTART_MS = 300;
 // Each test runs its site in a loopback network of its own.
 let net = 170;
 
@@ -126,3 +128,29 @@
     await ended(vm);
   });
 });
+
+// Each daemon of a service took its server out of use at its own time, also
+// where the others were still away.
+test("stops that overlap leave a service without a server", async (t) => {
+  await smallSite.run(net++, async (site) => {
+    const [first, caller, second] = site.vms;
+    const asked: ReturnType<typeof ask>[] = [];
+    const client = setInterval(
+      () => asked.push(ask(caller!.ip, "front.example", "/safe/")),
+      20,
+    );
+    first!.daemon.kill("SIGTERM");
+    await pause(400);
+    second!.daemon.kill("SIGTERM");
+    await Promise.all([first!, second!].map(async (vm) => {
+      await ended(vm);
+      await pause(RESTART_MS);
+      vm.restart();
+    }));
+    await until("serve again", () => smallSite.serves(second!));
+    clearInterval(client);
+    const answers = await Promise.all(asked);
+    const failed = answers.filter((answer) => !whole(answer, "front"));
+    t.deepEqual(failed, []);
+  });
+});
