Keep a departure that comes before the first heartbeat

A process that had not yet heard of its server dropped the departure and acknowledged it all the same; its health check, still good while the server drains, then took the server into use. Alike, the departure of an adopted server kept no start, so that a late heartbeat looked like a later start.

A departure is now kept whatever is known of the server, with its start where it's told, and written to the store. Tests: 'a departure that comes before any heartbeat is forgotten', 'a heartbeat brings an adopted server back that has left' and 'a departure of a later server counts before its first heartbeat' fail before.

--- a/src/backend/adopt.ts
+++ b/src/backend/adopt.ts
@@ -1,8 +1,6 @@
 import type { Probe } from "./probe.ts";
 import type { Registration } from "./registration.ts";
-
-// Before any start that a heartbeat can tell.
-const UNKNOWN_START = 0;
+import { UNKNOWN_START } from "./unknown_start.ts";
 
 /**
  * Takes a healthy server into use before its first heartbeat reaches this
--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -208,7 +208,8 @@
     runMs: () => Math.round(gate.meanRunMs),
     announce: (announcement) =>
       update(register(registration, announcement, steadyTime())),
-    depart: (departure) => update(depart(registration, departure)),
+    depart: (departure) =>
+      update(depart(registration, departure, steadyTime())),
     adopt: (probe) => update(adopt(registration, probe, steadyTime())),
     open() {
       if (opened) return;
--- a/src/backend/depart.ts
+++ b/src/backend/depart.ts
@@ -1,12 +1,38 @@
 import type { Departure } from "./departure.ts";
 import type { Registration } from "./registration.ts";
+import { UNKNOWN_START } from "./unknown_start.ts";
 
-/** Applies a departure; one of another server or an earlier start is ignored. */
+/**
+ * Applies a departure; one of an earlier server or start is ignored. A server
+ * can leave before this process has heard of it: that is kept as well, so that
+ * neither a health check nor a late heartbeat brings it into use.
+ */
 export function depart(
   current: Registration | null,
   { id, startedAt }: Departure,
+  now: number,
 ): Registration | null {
-  if (current === null || current.id !== id) return current;
-  if (startedAt !== null && startedAt < current.startedAt) return current;
-  return { ...current, leaving: true, departed: true };
+  const since = current?.startedAt ?? UNKNOWN_START;
+  if (startedAt !== null && startedAt < since) return current;
+  if (current !== null && current.id === id) {
+    return {
+      ...current,
+      startedAt: startedAt ?? since,
+      leaving: true,
+      departed: true,
+    };
+  }
+  if (current !== null && (startedAt === null || startedAt === since)) {
+    return current;
+  }
+  return {
+    id,
+    startedAt: startedAt ?? UNKNOWN_START,
+    sequence: 0,
+    slots: 1,
+    leaving: true,
+    departed: true,
+    coldUntil: now,
+    heardAt: now,
+  };
 }
--- a/src/backend/recall.ts
+++ b/src/backend/recall.ts
@@ -1,5 +1,6 @@
 import { depart } from "./depart.ts";
 import type { Registration } from "./registration.ts";
+import { UNKNOWN_START } from "./unknown_start.ts";
 
 /**
  * Applies a departure that was acknowledged before this process started, also
@@ -7,21 +8,14 @@
  */
 export function recall(
   current: Registration | null,
-  departure: { id: string; startedAt: number },
+  { id, startedAt }: { id: string; startedAt: number },
   now: number,
 ): Registration | null {
-  const { id, startedAt } = departure;
-  if (current === null) {
-    return {
-      id,
-      startedAt,
-      sequence: 0,
-      slots: 1,
-      leaving: true,
-      departed: true,
-      coldUntil: now,
-      heardAt: now,
-    };
+  const told = startedAt === UNKNOWN_START ? null : startedAt;
+  if (current !== null && told !== null && current.startedAt > told) {
+    return current;
   }
-  return current.startedAt > startedAt ? current : depart(current, departure);
+  // Of another server than the present one, it says nothing new.
+  if (current !== null && current.id !== id) return current;
+  return depart(current, { id, startedAt: told }, now);
 }
--- a/src/backend/register.ts
+++ b/src/backend/register.ts
@@ -1,5 +1,6 @@
 import type { Announcement } from "./announcement.ts";
 import type { Registration } from "./registration.ts";
+import { UNKNOWN_START } from "./unknown_start.ts";
 
 /**
  * Applies a heartbeat. Heartbeats can be late: one from an earlier start, with
@@ -22,7 +23,12 @@
     coldUntil: now + coldMs,
     heardAt: now,
   };
-  if (current === null || startedAt > current.startedAt) return next;
+  if (current === null) return next;
+  if (
+    current.departed && current.id === id &&
+    current.startedAt === UNKNOWN_START
+  ) return { ...current, startedAt };
+  if (startedAt > current.startedAt) return next;
   if (startedAt < current.startedAt || id !== current.id) return current;
   if (current.departed || sequence <= current.sequence) return current;
   return { ...next, leaving: leaving || current.leaving };
--- a/src/backend/register_test.ts
+++ b/src/backend/register_test.ts
@@ -39,15 +39,44 @@
 });
 
 test("a departed server's late heartbeat doesn't bring it back", (t) => {
-  const gone = depart(first, { id: "a", startedAt: 1_000 })!;
+  const gone = depart(first, { id: "a", startedAt: 1_000 }, 1)!;
   t.true(gone.leaving);
   t.is(register(gone, { ...BEAT, sequence: 99 }, 1), gone);
   t.false(register(gone, { ...BEAT, startedAt: 3_000 }, 1).leaving);
 });
 
 test("a departure of another server or start is ignored", (t) => {
-  t.is(depart(first, { id: "b", startedAt: null }), first);
-  t.is(depart(first, { id: "a", startedAt: 900 }), first);
+  t.is(depart(first, { id: "b", startedAt: null }, 1), first);
+  t.is(depart(first, { id: "a", startedAt: 900 }, 1), first);
+});
+
+// A restarted daemon acknowledged a departure and forgot it, since it didn't
+// know its server yet; a health check then brought the server back.
+test("a departure that comes before any heartbeat is forgotten", (t) => {
+  for (const startedAt of [1_000, null]) {
+    const gone = depart(null, { id: "a", startedAt }, 1)!;
+    t.true(adopt(gone, { id: "a", slots: 8 }, 2).leaving);
+    const told = register(gone, { ...BEAT, sequence: 9 }, 3);
+    t.true(told.leaving);
+    t.true(register(told, { ...BEAT, sequence: 10 }, 4).leaving);
+    t.false(register(told, { ...BEAT, startedAt: 2_000 }, 4).leaving);
+  }
+});
+
+// The start of an adopted server isn't known, so its late heartbeat looked like
+// that of a later start.
+test("a heartbeat brings an adopted server back that has left", (t) => {
+  const adopted = adopt(null, { id: "a", slots: 8 }, 0);
+  for (const startedAt of [1_000, null]) {
+    const gone = depart(adopted, { id: "a", startedAt }, 1)!;
+    t.true(register(gone, { ...BEAT, sequence: 9 }, 2).leaving);
+  }
+});
+
+test("a departure of a later server counts before its first heartbeat", (t) => {
+  const gone = depart(first, { id: "b", startedAt: 2_000 }, 1)!;
+  t.is(gone.id, "b");
+  t.true(register(gone, { ...BEAT, id: "b", startedAt: 2_000 }, 2).leaving);
 });
 
 test("a departure from before the start holds, also after a heartbeat", (t) => {
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -245,9 +245,10 @@
     ready: () => routes !== null && !stopping,
     announce: (announcement) => backend.announce(announcement),
     async depart(departure) {
-      const server = backend.registration();
       backend.depart(departure);
+      const server = backend.registration();
       if (server === null || server.id !== departure.id) return;
+      if (!server.departed) return;
       const row = { id: server.id, startedAt: server.startedAt };
       await Promise.race([
         store.put(
