Keep to the first signal's plan of a stop; tell apart runs that end together

The stop is now planned once. Clients are refused by the time of the plan rather than by a poll, which a starved process makes late.

Since all runs of a stopping daemon end together at the latest, the route whose run makes a nested call was taken as the first of them; now none counts where several expire alike.

--- a/src/backend/route_expiring_at.ts
+++ b/src/backend/route_expiring_at.ts
@@ -6,7 +6,8 @@
 
 /**
  * Returns the route of the running request whose expiry is closest to a steady
- * time in ms, or null where none expires then.
+ * time in ms, or null where none expires then, or several routes alike: a limit
+ * on all runs tells nothing of one.
  */
 export function routeExpiringAt(
   runs: Iterable<Run>,
@@ -14,12 +15,16 @@
 ): string | null {
   let route: string | null = null;
   let closest = Infinity;
+  let ambiguous = false;
   for (const { request } of runs) {
     const differenceMs = expiresAt - request.expiresAt;
     if (differenceMs < -EARLIER_MS || differenceMs > LATER_MS) continue;
-    if (Math.abs(differenceMs) >= closest) continue;
-    closest = Math.abs(differenceMs);
+    const distanceMs = Math.abs(differenceMs);
+    if (distanceMs > closest) continue;
+    ambiguous = distanceMs === closest &&
+      (ambiguous || request.route !== route);
+    closest = distanceMs;
     route = request.route;
   }
-  return route;
+  return ambiguous ? null : route;
 }
--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -56,8 +56,7 @@
         };
       },
       tick() {},
-      limitRuns() {},
-      refuseClients() {},
+      limit() {},
       giveUp() {},
       open: () => ({ clients: 0, nested: 0, oldest: null }),
     },
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -93,7 +93,7 @@
 ): Origin {
   const open = new Set<OpenCall>();
   const fullServices = new Set<string>();
-  let refusing = false;
+  let refuseAt = Infinity;
   let runsEndAt = Infinity;
   // Mean time to an answer by route, in ms.
   const answerMs = new Map<string, number>();
@@ -305,7 +305,7 @@
         onReply,
       };
       open.add(call);
-      const turnedAway = refusing ||
+      const turnedAway = now >= refuseAt ||
         outlasts(now, answerMs.get(route.name) ?? 0, runsEndAt);
       if (turnedAway && root !== false) {
         refuse(call, "leaving", RESTART_MS);
@@ -344,11 +344,8 @@
       }
       refresh(now);
     },
-    limitRuns(endsAt) {
-      runsEndAt = endsAt;
-    },
-    refuseClients() {
-      refusing = true;
+    limit(plan) {
+      ({ refuseAt, runsEndAt } = plan);
     },
     giveUp() {
       for (const call of open) {
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -13,12 +13,11 @@
   /** Gives up requests whose time is over, and updates the admission. */
   tick(): void;
   /**
-   * Runs must end by this steady time in ms: servers are told so, and requests
-   * of clients that may take longer are refused.
+   * Runs must end by `runsEndAt`: servers are told so, and requests of clients
+   * that may take longer are refused. From `refuseAt` on, all of clients are;
+   * calls of the own server go on. Steady times in ms.
    */
-  limitRuns(endsAt: number): void;
-  /** From now on turns clients away; calls of the own server go on. */
-  refuseClients(): void;
+  limit(plan: { refuseAt: number; runsEndAt: number }): void;
   /** Ends all requests without a reply, before the process does. */
   giveUp(): void;
   /** Requests without a reply. */
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -65,7 +65,7 @@
   const { store, configurationRow } = adapter;
   let routes: RoutesInForce | null = null;
   let configuration: { version: number; bytes: Uint8Array } | null = null;
-  let stopping = false;
+  let stopped: Promise<void> | null = null;
   let leaving = false;
   let refusing = false;
 
@@ -241,8 +241,28 @@
   });
   void joined.then(backend.open);
 
+  const stop = async () => {
+    await stopInOrder({
+      gracePeriodMs,
+      steadyTime,
+      log,
+      origin,
+      backend,
+      connections,
+      othersServe: () => (mesh.index().serving.get(service) ?? []).length > 0,
+      leave() {
+        leaving = true;
+        mesh.announce();
+      },
+      refusePeers() {
+        refusing = true;
+      },
+    });
+    server.close();
+  };
+
   return {
-    ready: () => routes !== null && !stopping,
+    ready: () => routes !== null && stopped === null,
     announce: (announcement) => backend.announce(announcement),
     async depart(departure) {
       backend.depart(departure);
@@ -272,25 +292,10 @@
       storeAddress = next.storeAddress;
       store.reconnect(storeAddress);
     },
-    async stop() {
-      stopping = true;
-      await stopInOrder({
-        gracePeriodMs,
-        steadyTime,
-        log,
-        origin,
-        backend,
-        connections,
-        othersServe: () => (mesh.index().serving.get(service) ?? []).length > 0,
-        leave() {
-          leaving = true;
-          mesh.announce();
-        },
-        refusePeers() {
-          refusing = true;
-        },
-      });
-      server.close();
+    stop() {
+      // A second signal doesn't change what the first one has promised.
+      stopped ??= stop();
+      return stopped;
     },
   };
 }
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -57,12 +57,11 @@
   };
 
   report("stopping");
-  origin.limitRuns(plan.runsEndAt);
+  origin.limit(plan);
   backend.limitRuns(plan.runsEndAt);
   connections.drain();
   let leftAt = Infinity;
   let refusingPeers = false;
-  let refusingClients = false;
   let reportedAt = startedAt;
   let now = startedAt;
   while (now < plan.endAt) {
@@ -81,11 +80,6 @@
       refusePeers();
     }
     if (now < plan.refuseAt) continue;
-    if (!refusingClients) {
-      refusingClients = true;
-      // Those that haven't heard of it keep coming, and would never end.
-      origin.refuseClients();
-    }
     connections.closeIdle();
     if (refusingPeers && isIdle()) break;
   }
