Send what a stopping daemon can't finish to servers that can

Three faults in the bound of a stop, found by a review of it:

A 504 well before the call's own end now counts as a failed attempt, which may be repeated within the budget.

A request that no server takes is refused with the reason and time of the last refusal instead of no-server.

--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -44,6 +44,9 @@
 const NOT_READY_RETRY_MS = 500;
 // A retry that has less than this share of the target latency left is wasted.
 const LEAST_RETRY_SHARE = 0.2;
+// A server that answers 504 this long before the call expires was given less
+// time, since its daemon stops.
+const EARLY_MS = 250;
 // Time after which a daemon that stops is back or its clients are elsewhere.
 const RESTART_MS = 1_000;
 // The front of a burst is cut this often.
@@ -141,7 +144,9 @@
     if (target === null) {
       if (call.earlier !== null) reply(call, call.earlier);
       else if (call.attempts > 0) fail(call, "no-other-server", false);
-      else refuse(call, "no-server", NOT_READY_RETRY_MS);
+      else if (call.refusal === null) {
+        refuse(call, "no-server", NOT_READY_RETRY_MS);
+      } else refuse(call, call.refusal.reason, call.refusal.roomMs);
       return;
     }
     call.target = target;
@@ -234,8 +239,12 @@
   } = {
     answered(call, { status, fields, body }) {
       const answer = { kind: "answer" as const, status, fields, body };
-      const failed = status >= SERVER_ERROR && status !== DEADLINE_EXCEEDED;
-      if (failed && call.earlier === null && mayRetry(call, true)) {
+      const expired = status === DEADLINE_EXCEEDED;
+      // Before the call's own end, another server still has time for it.
+      const early = expired &&
+        Math.min(call.expiresAt, runsEndAt) - steadyTime() > EARLY_MS;
+      const failed = status >= SERVER_ERROR && (!expired || early);
+      if (failed && call.earlier === null && mayRetry(call, !early)) {
         call.earlier = answer;
         retry(call);
       } else reply(call, failed ? call.earlier ?? answer : answer);
@@ -243,13 +252,16 @@
     "not-run"(call, { reason, waitMs = 0, arrived }) {
       call.attempts--;
       call.refusedBy.add(call.target!.address);
-      const again = call.refusedBy.size < MOST_REFUSALS &&
-        reason !== "expired" &&
+      // A server that leaves says nothing about the room at the others.
+      const leaving = reason === "leaving";
+      if (!leaving) call.refusals++;
+      call.refusal = { reason, roomMs: leaving ? RESTART_MS : waitMs };
+      const again = call.refusals < MOST_REFUSALS && reason !== "expired" &&
         (!arrived || spendRetry(budget, "single", call.service));
       if (again) send(call);
       else if (call.earlier !== null) reply(call, call.earlier);
       else if (call.attempts > 0) fail(call, reason, reason === "expired");
-      else refuse(call, reason, waitMs);
+      else refuse(call, reason, call.refusal.roomMs);
     },
     unknown(call, { reason }) {
       if (mayRetry(call, false)) retry(call);
@@ -299,6 +311,8 @@
         inherited,
         arrived: false,
         refusedBy: new Set(),
+        refusals: 0,
+        refusal: null,
         target: null,
         earlier: null,
         cancel: ignore,
--- a/src/origin/open_call.ts
+++ b/src/origin/open_call.ts
@@ -22,6 +22,10 @@
   arrived: boolean;
   /** Addresses of the daemons that turned it away. */
   refusedBy: Set<string>;
+  /** How often it was turned away for want of room. */
+  refusals: number;
+  /** Why it was last turned away, and when room is expected, in ms. */
+  refusal: { reason: string; roomMs: number } | null;
   target: Candidate | null;
   /** A server's failure, kept while another server is tried. */
   earlier: Extract<Reply, { kind: "answer" }> | null;
--- a/src/sidecar/is_leave_due.ts
+++ b/src/sidecar/is_leave_due.ts
@@ -1,5 +1,9 @@
 import type { StopPlan } from "./stop_plan.ts";
 
+// A server that comes into use is known to all daemons within this time, in
+// which they try its address again.
+const FOUND_MS = 600;
+
 /**
  * Whether a stopping daemon takes its server out of use at a steady time in ms.
  * The last server of a service stays as long as the daemon can.
@@ -7,7 +11,10 @@
 export function isLeaveDue(
   { leaveAt, leaveLatestAt }: Pick<StopPlan, "leaveAt" | "leaveLatestAt">,
   now: number,
-  othersServe: boolean,
+  /** Since when another server of the service is in use; null if none is. */
+  othersSince: number | null,
 ): boolean {
-  return now >= leaveLatestAt || (othersServe && now >= leaveAt);
+  if (now >= leaveLatestAt) return true;
+  return now >= leaveAt && othersSince !== null &&
+    now - othersSince >= FOUND_MS;
 }
--- a/src/sidecar/is_leave_due_test.ts
+++ b/src/sidecar/is_leave_due_test.ts
@@ -4,11 +4,17 @@
 const plan = { leaveAt: 2_000, leaveLatestAt: 4_000 };
 
 test("a server leaves once it may, if others serve", (t) => {
-  t.false(isLeaveDue(plan, 1_999, true));
-  t.true(isLeaveDue(plan, 2_000, true));
+  t.false(isLeaveDue(plan, 1_999, 0));
+  t.true(isLeaveDue(plan, 2_000, 0));
 });
 
 test("the last server of a service stays as long as it can", (t) => {
-  t.false(isLeaveDue(plan, 3_999, false));
-  t.true(isLeaveDue(plan, 4_000, false));
+  t.false(isLeaveDue(plan, 3_999, null));
+  t.true(isLeaveDue(plan, 4_000, null));
+});
+
+// Daemons that hadn't found the other server yet had none for a moment.
+test("a server leaves before all know the next one", (t) => {
+  t.false(isLeaveDue(plan, 2_500, 2_000));
+  t.true(isLeaveDue(plan, 2_600, 2_000));
 });
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -60,6 +60,7 @@
   origin.limit(plan);
   backend.limitRuns(plan.runsEndAt);
   connections.drain();
+  let othersSince = othersServe() ? startedAt : null;
   let leftAt = Infinity;
   let refusingPeers = false;
   let reportedAt = startedAt;
@@ -71,7 +72,8 @@
       reportedAt = now;
       report("stop-waiting");
     }
-    if (leftAt === Infinity && isLeaveDue(plan, now, othersServe())) {
+    othersSince = othersServe() ? othersSince ?? now : null;
+    if (leftAt === Infinity && isLeaveDue(plan, now, othersSince)) {
       leftAt = now;
       leave();
     }
--- a/test/planned_stop_test.ts
+++ b/test/planned_stop_test.ts
@@ -4,36 +4,43 @@
 import type { Site, Vm } from "../platform/standin/site.ts";
 import { smallSite } from "./small_site.ts";
 import { until } from "./until.ts";
+import { withSite } from "./with_site.ts";
 
 // Of the grace period of a daemon, what the platform's stand-in sets.
 const GRACE_PERIOD_MS = 6_000;
+// Most of the grace period that a stop may leave unused, on a busy machine too.
+const UNUSED_MS = GRACE_PERIOD_MS / 6;
 // Ends within the grace period only if it begins when the stop does.
 const LONG_MS = 4_500;
 // Between the end of a process and the start of the next.
 const RESTART_MS = 300;
 // Each test runs its site in a loopback network of its own.
-let net = 170;
+let net = 185;
 
 const { whole, runsOf } = smallSite;
 const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-/** A site with two routes to one service, of which one will run long. */
+/** Two routes to one service, of which one will run long, and one to another. */
+function configure(site: Site, kind: "safe" | "unsafe"): void {
+  const rule = (name: string, service = "front") => ({
+    name,
+    kind,
+    targetLatencyS: 5,
+    priority: 1,
+    match: { prefix: `/${name}/` },
+    action: { service, timeoutS: 20, maxAttempts: 2 },
+  });
+  site.configure(2, {
+    listeners: [
+      { host: "front.example", rules: [rule("long"), rule("quick")] },
+      { host: "deep.example", rules: [rule("deep", "deep")] },
+    ],
+  });
+}
+
 const withLongRoute = (kind: "safe" | "unsafe", run: (site: Site) => unknown) =>
   smallSite.run(net++, async (site) => {
-    const rule = (name: string, service = "front") => ({
-      name,
-      kind,
-      targetLatencyS: 5,
-      priority: 1,
-      match: { prefix: `/${name}/` },
-      action: { service, timeoutS: 20, maxAttempts: 2 },
-    });
-    site.configure(2, {
-      listeners: [
-        { host: "front.example", rules: [rule("long"), rule("quick")] },
-        { host: "deep.example", rules: [rule("deep", "deep")] },
-      ],
-    });
+    configure(site, kind);
     for (const { ip } of site.vms) {
       await until("in force", async () => (await quick(ip)).status === 200);
     }
@@ -101,6 +108,7 @@
     const toldMs = Number(app.lastHeaders["request-deadline"]);
     const leftMs = GRACE_PERIOD_MS - (performance.now() - stoppedAt);
     t.true(toldMs < leftMs, `${toldMs} of ${leftMs}`);
+    t.true(toldMs > leftMs - UNUSED_MS, `${toldMs} of ${leftMs}`);
     await ended(vm);
   });
 });
@@ -154,3 +162,63 @@
     t.deepEqual(failed, []);
   });
 });
+
+// Three servers that left used up the tries of a request that a fourth could
+// run.
+test("servers that leave hide one that stays", async (t) => {
+  const vms = ["front", "front", "front", "front", "deep"].map((service) => ({
+    zone: "a",
+    service,
+  }));
+  await withSite({ net: net++, vms }, async (site) => {
+    configure(site, "unsafe");
+    const caller = site.vms[4]!;
+    await until(
+      "in force",
+      async () => (await quick(caller.ip)).status === 200,
+    );
+    for (const { app } of site.vms) app.workMs = LONG_MS;
+    await Promise.all(Array.from({ length: 20 }, () => long(caller.ip)));
+    for (const vm of site.vms.slice(0, 3)) vm.daemon.kill("SIGTERM");
+    await pause(800);
+    const asked = Array.from({ length: 6 }, () => long(caller.ip));
+    for (const answer of await Promise.all(asked)) {
+      t.true(whole(answer, "front"), `${answer.status}`);
+    }
+  });
+});
+
+// The end of a stopping daemon became the end of other daemons' requests.
+test("a run that ends with its daemon is the client's last", async (t) => {
+  await withLongRoute("safe", async (site) => {
+    const [stopped, neighbour] = site.vms;
+    // What is saved up lets the neighbour send a request once more.
+    for (let batch = 0; batch < 20; batch++) {
+      const asked = Array.from({ length: 10 }, () => quick(neighbour!.ip));
+      await Promise.all(asked);
+    }
+    stopped!.app.workMs = 2 * GRACE_PERIOD_MS;
+    stopped!.daemon.kill("SIGTERM");
+    await pause(300);
+    const answer = await quick(neighbour!.ip);
+    t.is(stopped!.app.runs.get(answer.id), 1);
+    t.true(whole(answer, "front"), `${answer.status}`);
+  });
+});
+
+test("a second signal prolongs what servers are told", async (t) => {
+  await withLongRoute("safe", async (site) => {
+    const vm = site.vms[0]!;
+    vm.daemon.kill("SIGTERM");
+    const stoppedAt = performance.now();
+    await pause(1_000);
+    vm.daemon.kill("SIGTERM");
+    await pause(100);
+    const { id } = await quick(vm.ip);
+    const { app } = site.vms.find(({ app }) => app.runs.has(id))!;
+    const toldMs = Number(app.lastHeaders["request-deadline"]);
+    const startedMs = app.startedAt.get(id)! - stoppedAt;
+    t.true(toldMs < GRACE_PERIOD_MS - startedMs, `${toldMs} at ${startedMs}`);
+    await ended(vm);
+  });
+});
