Bound a control call that has no connection yet

Cause: undici's request heeds its signal only once the request has a connection. Where a socket is closed while it connects, as the fault switch of the test does, undici 7.30.3 never reports it, and the call waits for ever. A gossip round starts after the one before has ended, so that daemon gossips no more. The same with calls that wait behind others for one of the two control connections: they outlast their timeout.

Change: the timeout is a timer that ends the call itself. A call that was given up isn't sent later. The timer also replaces a signal combined from AbortSignal.timeout by AbortSignal.any, which on Node 20.20 never fires after a garbage collection when nothing else holds the first signal; a call that hung for this reason was not seen.

--- a/src/security/create_control_fetch.ts
+++ b/src/security/create_control_fetch.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { type Dispatcher, request } from "undici";
+import { withTimeout } from "../core/with_timeout.ts";
 import { equalMacs } from "./equal_macs.ts";
 import { formatCredential } from "./format_credential.ts";
 import { HEADER } from "./header.ts";
@@ -83,18 +84,20 @@
     expectedEpoch: expectedEpoch(recipient),
     body,
   });
-  const timeout = AbortSignal.timeout(timeoutMs);
-  const response = await request(url, {
-    method: method as Dispatcher.HttpMethod,
-    headers: {
-      "content-type": "application/json",
-      [HEADER.credential]: formatCredential(credential),
-    },
-    body: body.length > 0 ? body : null,
-    dispatcher,
-    signal: init.signal ? AbortSignal.any([timeout, init.signal]) : timeout,
+  const reply = await withTimeout(timeoutMs, async (signal) => {
+    const response = await request(url, {
+      method: method as Dispatcher.HttpMethod,
+      headers: {
+        "content-type": "application/json",
+        [HEADER.credential]: formatCredential(credential),
+      },
+      body: body.length > 0 ? body : null,
+      dispatcher,
+      signal: init.signal ? AbortSignal.any([signal, init.signal]) : signal,
+    });
+    return readReply(response);
   });
-  return { credential, reply: await readReply(response) };
+  return { credential, reply };
 }
 
 async function readReply(response: Dispatcher.ResponseData): Promise<Reply> {
