Bound a token request and a stall probe that have no connection yet

A call that needed an execution token waited as long as earlier requests on the two token connections, whatever TIMEOUT_MS said. The stall probe opens a connection of its own and depended on undici reporting every failed connect.

Test: "token request without a connection has no timeout" stayed pending before and passes now. The probe has no test of its own for this.

--- a/src/relay/check_stalls.ts
+++ b/src/relay/check_stalls.ts
@@ -1,4 +1,5 @@
 import { Client } from "undici";
+import { withTimeout } from "../core/with_timeout.ts";
 import { findStalled } from "./find_stalled.ts";
 import { judgeStalled } from "./judge_stalled.ts";
 import type { Relay } from "./relay.ts";
@@ -50,12 +51,14 @@
   });
   const ids = remotes.map(({ attemptId }) => attemptId).join(",");
   try {
-    const { body } = await client.request({
-      method: "GET",
-      path: `/-/alive?attempt=${ids}`,
-      signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+    return await withTimeout(PROBE_TIMEOUT_MS, async (signal) => {
+      const { body } = await client.request({
+        method: "GET",
+        path: `/-/alive?attempt=${ids}`,
+        signal,
+      });
+      return new Set((await body.text()).split(","));
     });
-    return new Set((await body.text()).split(","));
   } catch {
     return null;
   } finally {
--- a/src/relay/forward_test.ts
+++ b/src/relay/forward_test.ts
@@ -9,8 +9,10 @@
 import { findRule } from "../rules/find_rule.ts";
 import { parseSettings } from "../settings/parse_settings.ts";
 import { forward } from "./forward.ts";
+import { obtainTokens } from "./obtain_tokens.ts";
 import { handlePeer } from "./peer_listener.ts";
 import type { Relay } from "./relay.ts";
+import { tokenPool } from "./token_pool.ts";
 
 const DEAD = "127.0.0.1:1";
 
@@ -111,3 +113,21 @@
   t.is(response.headers.get("nutmegmoor-reason"), "bad-request");
   peer.close();
 });
+
+// A call that needed a token waited as long as earlier requests for tokens.
+test("token request without a connection has no timeout", async (t) => {
+  const paths: (string | undefined)[] = [];
+  const { address, close } = await listen((request) => {
+    paths.push(request.url);
+  });
+  const relay = relayFor([address]);
+  const pool = tokenPool(relay, address);
+  const held = [1, 2].map(() =>
+    t.throwsAsync(pool.request({ method: "GET", path: "/held" }))
+  );
+  t.deepEqual(await obtainTokens(relay, { address, count: 1 }), []);
+  t.deepEqual(paths, ["/held", "/held"]);
+  await pool.destroy();
+  await Promise.all(held);
+  close();
+});
--- a/src/relay/obtain_tokens.ts
+++ b/src/relay/obtain_tokens.ts
@@ -1,3 +1,4 @@
+import { withTimeout } from "../core/with_timeout.ts";
 import { issueToken } from "../execution/issue_token.ts";
 import type { Relay } from "./relay.ts";
 import { tokenPool } from "./token_pool.ts";
@@ -14,13 +15,15 @@
     return Array.from({ length: count }, () => issueToken(relay.ledger, now));
   }
   try {
-    const { statusCode, body } = await tokenPool(relay, address).request({
-      method: "POST",
-      path: `/-/tokens?count=${count}`,
-      signal: AbortSignal.timeout(TIMEOUT_MS),
+    return await withTimeout(TIMEOUT_MS, async (signal) => {
+      const { statusCode, body } = await tokenPool(relay, address).request({
+        method: "POST",
+        path: `/-/tokens?count=${count}`,
+        signal,
+      });
+      const text = await body.text();
+      return statusCode === 200 ? text.split(" ") : [];
     });
-    const text = await body.text();
-    return statusCode === 200 ? text.split(" ") : [];
   } catch {
     return [];
   }
