Show the last view and the log where partition_test gives up

The failure now prints the expected and the last view and the daemon's log with its failed exchanges; what is checked and the bound are the same.

--- a/test/partition_test.ts
+++ b/test/partition_test.ts
@@ -20,24 +20,39 @@
   return [...new Set(results.map(({ result }) => result))];
 }
 
+/** Waits for a view; a failure shows the last one and the daemon's log. */
+async function seen(daemon: Member, expected: Status): Promise<void> {
+  const wanted = JSON.stringify(expected);
+  let view = "none";
+  try {
+    await until(`view of ${daemon.name}`, async () => {
+      const status = await ask<Status>(daemon, "status");
+      const { unreachableDataCentres, members } = status;
+      view = JSON.stringify({ unreachableDataCentres, members });
+      return view === wanted;
+    });
+  } catch (cause) {
+    const log = daemon.log.join("");
+    const message = `Expected ${wanted}, last seen ${view}; its log: ${log}`;
+    throw new Error(message, { cause });
+  }
+}
+
 const BASE = 109;
+const LOG = "nutmegmoor:daemon,nutmegmoor:membership";
 const PLATFORM = `127.${BASE}.0.`;
 const EAST = `127.${BASE}.1.`;
 const WEST = `127.${BASE}.2.`;
 
 test.serial("data centre that is cut off serves, admits and catches up", async (t) => {
-  const options = { deployment: small, base: BASE, switchable: true };
+  const options = { deployment: small, base: BASE, switchable: true, log: LOG };
   await withFleet(options, async (fleet) => {
     const daemons = fleet.members.filter(({ kind }) => kind === "daemon");
     const east = daemons.filter(({ dataCentre }) => dataCentre === "east");
     const west = daemons.filter(({ dataCentre }) => dataCentre === "west");
     const cutOff = { hosts: [PLATFORM, EAST] };
     const sees = (daemon: Member, lost: string[], members: number) =>
-      until(`view of ${daemon.name}`, async () => {
-        const status = await ask<Status>(daemon, "status");
-        return status.unreachableDataCentres.join() === lost.join() &&
-          status.members === members;
-      });
+      seen(daemon, { unreachableDataCentres: lost, members });
     for (const daemon of east) await setFaults(daemon, { hosts: [WEST] });
     for (const daemon of west) await setFaults(daemon, cutOff);
     for (const daemon of east) await sees(daemon, ["west"], 4);
