Metrics that are read when the endpoint is asked

The endpoint could only show what was counted or timed before. An instrument has a name, a help text, a unit and a function; it costs nothing until somebody asks. Counters and summaries can have a help text as well.

--- /dev/null
+++ b/src/metrics/declare_metric.ts
@@ -0,0 +1,11 @@
+/** Writes the lines that precede the samples of a metric. */
+export function declareMetric(
+  name: string,
+  type: "counter" | "gauge" | "summary",
+  help: string | undefined,
+): string[] {
+  const declaration = `# TYPE ${name} ${type}`;
+  if (help === undefined) return [declaration];
+  const text = help.replace(/\\/g, "\\\\").replace(/\n/g, "\\n");
+  return [`# HELP ${name} ${text}`, declaration];
+}
--- /dev/null
+++ b/src/metrics/format_labels.ts
@@ -0,0 +1,20 @@
+import { cleanName } from "./clean_name.ts";
+import type { Labels } from "./labels.ts";
+
+const NEEDS_ESCAPE = /[\\"\n]/;
+
+/** Writes the labels of a sample in the Prometheus text format. */
+export function formatLabels(labels: Labels): string {
+  let pairs = "";
+  for (const name in labels) {
+    if (pairs !== "") pairs += ",";
+    pairs += `${cleanName(name)}="${escape(labels[name]!)}"`;
+  }
+  return pairs === "" ? "" : `{${pairs}}`;
+}
+
+function escape(value: string): string {
+  if (!NEEDS_ESCAPE.test(value)) return value;
+  return value.replace(/\\/g, "\\\\").replace(/"/g, '\\"')
+    .replace(/\n/g, "\\n");
+}
--- /dev/null
+++ b/src/metrics/metric_prefix.ts
@@ -0,0 +1,2 @@
+/** Namespace of the metrics of this program. */
+export const METRIC_PREFIX = "nutmegmoor_";
--- a/src/metrics/metrics_test.ts
+++ b/src/metrics/metrics_test.ts
@@ -3,7 +3,9 @@
 import { Float64Histogram } from "hdr-histogram-js";
 import { count } from "./count.ts";
 import { createMetrics } from "./create_metrics.ts";
+import { formatInstruments } from "./format_instruments.ts";
 import { formatPrometheus } from "./format_prometheus.ts";
+import type { Instrument } from "./instrument.ts";
 import { quantiles } from "./quantiles.ts";
 import { record } from "./record.ts";
 import { takeSnapshot } from "./take_snapshot.ts";
@@ -88,3 +90,71 @@
   t.true(text.includes('nutmegmoor_hop_seconds_count{class="normal"} 1\n'));
   t.true(text.includes("# TYPE nutmegmoor_hop_seconds summary\n"));
 });
+
+const gauge = (over: Partial<Instrument> = {}): Instrument => ({
+  type: "gauge",
+  name: "age",
+  help: "Age.",
+  read: () => 1,
+  ...over,
+});
+
+test("a gauge without labels is one line behind its help and type", (t) => {
+  t.is(
+    formatInstruments([gauge({ unit: "seconds", read: () => 0.25 })]),
+    "# HELP nutmegmoor_age_seconds Age.\n" +
+      "# TYPE nutmegmoor_age_seconds gauge\n" +
+      "nutmegmoor_age_seconds 0.25\n",
+  );
+});
+
+test("a gauge with labels has a line for each combination", (t) => {
+  const read = () => [
+    { labels: { service: "a", state: "up" }, value: 2 },
+    { labels: { service: 'b"\n\\', state: "up" }, value: 0 },
+  ];
+  t.is(
+    formatInstruments([gauge({ name: "servers", read })]),
+    "# HELP nutmegmoor_servers Age.\n" +
+      "# TYPE nutmegmoor_servers gauge\n" +
+      'nutmegmoor_servers{service="a",state="up"} 2\n' +
+      'nutmegmoor_servers{service="b\\"\\n\\\\",state="up"} 0\n',
+  );
+});
+
+test("a counter that is read ends in its unit and in total", (t) => {
+  const text = formatInstruments(
+    [gauge({ type: "counter", name: "cpu", unit: "seconds" })],
+    "process_",
+  );
+  t.true(text.includes("# TYPE process_cpu_seconds_total counter\n"));
+  t.true(text.endsWith("\nprocess_cpu_seconds_total 1\n"));
+});
+
+test("a gauge without a value is left out", (t) => {
+  const empty = [gauge({ read: () => null }), gauge({ read: () => [] })];
+  t.is(formatInstruments(empty), "");
+});
+
+test("values out of range are spelled as the format asks", (t) => {
+  const read = () =>
+    [Infinity, -Infinity, NaN, 1e-9].map((value, at) => ({
+      labels: { at: String(at) },
+      value,
+    }));
+  const lines = formatInstruments([gauge({ read })]).split("\n");
+  t.deepEqual(
+    lines.slice(2, 6).map((line) => line.split(" ")[1]),
+    ["+Inf", "-Inf", "NaN", "1e-9"],
+  );
+});
+
+test("help text can't forge a line of the Prometheus exposition", (t) => {
+  const metrics = createMetrics();
+  count(metrics, "calls", {}, 0);
+  const help = "One\nx 1";
+  const counters = formatPrometheus(takeSnapshot(metrics), { calls: help });
+  for (const text of [counters, formatInstruments([gauge({ help })])]) {
+    t.regex(text, /^# HELP nutmegmoor_\w+ One\\nx 1\n# TYPE /);
+  }
+});
