Show in the metrics what an on-call engineer asks first

The endpoint showed requests and their times only; whose fault a failed request was had to be found in the log, of which each event is bounded. Now it tells the own server and its gate, calls to it by their outcome, what is in flight, readiness and the stop, links to peers, the store and the configuration, repeats, services as this origin sees them, memory, processor time, delays of the event loop and the log lines left out. Gauges are read when the endpoint is asked; counters are increments, started at 0 where their labels are known. Labels are services, reasons and states.

A call that this daemon gives up ends like one whose connection was lost; it is counted apart, so that a slow server doesn't look like a broken one. A lost link has a kind besides its text, which holds addresses.

--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -11,7 +11,8 @@
 import { noteCaller } from "../costs/note_caller.ts";
 import { noteEnd } from "../costs/note_end.ts";
 import { noteRun } from "../costs/note_run.ts";
-
+import { count } from "../metrics/count.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { adopt } from "./adopt.ts";
 import type { Backend } from "./backend.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
@@ -50,6 +51,8 @@
   request: CallRequest;
   connection: ServerConnection;
   cancelled: boolean;
+  /** Whether the server didn't keep to the deadline. */
+  overdue: boolean;
 };
 
 /** Creates the gate to the backend server at `address`. */
@@ -63,6 +66,7 @@
     random,
     steadyTime,
     log,
+    metrics,
     onChange,
   }: {
     address: string;
@@ -74,6 +78,7 @@
     random: Random;
     steadyTime: () => number;
     log: Logger;
+    metrics: Metrics;
     /** The server has changed in what other daemons must know. */
     onChange: () => void;
   },
@@ -135,7 +140,12 @@
     const expiresAt = Math.min(asked.expiresAt, runsEndAt);
     const request = { ...asked, expiresAt };
     noteRun(graph, request.route, request.repeated);
-    const run: Run = { request, connection: pool.take(), cancelled: false };
+    const run: Run = {
+      request,
+      connection: pool.take(),
+      cancelled: false,
+      overdue: false,
+    };
     runs.add(run);
     run.connection.send(request, startedAt, (outcome) => {
       runs.delete(run);
@@ -155,12 +165,19 @@
         if (outcome.reason === "connect-failed") noteRefusedConnection();
         if (outcome.reason === "other-server") noteOtherServer(request);
       }
+      countCall(run, outcome);
       finishJob(gate, served ? now - startedAt : null, now);
       if (!answered) logFailure(request, outcome, now - startedAt);
       if (!run.cancelled) onOutcome(outcome, report(request.route));
     });
     return run;
   }
+  const countCall = (run: Run, outcome: CallOutcome) =>
+    count(
+      metrics,
+      "server_calls",
+      CALL_LABELS[outcome.kind](outcome as never, run),
+    );
   const logFailure = (
     { id, route, serverId }: CallRequest,
     outcome: Exclude<CallOutcome, { kind: "answered" }>,
@@ -174,11 +191,12 @@
       ms: Math.round(ms),
       load: loadOf(gate),
     });
-  const logRefusal = (
+  const noteRefusal = (
     { id, route, serverId }: CallRequest,
     reason: string,
     waitMs = 0,
-  ) =>
+  ) => {
+    count(metrics, "gate_refusals", { reason });
     log("call-refused", {
       id,
       route,
@@ -188,6 +206,7 @@
       waiting: gate.waiting,
       waitMs: Math.round(waitMs),
     });
+  };
   const noteRefusedConnection = () => {
     refusedConnections++;
     if (refusedConnections !== REFUSED_CONNECTIONS) return;
@@ -227,7 +246,7 @@
       const refuse = (
         reason: "leaving" | "no-server" | "other-server",
       ) => {
-        logRefusal(request, reason);
+        noteRefusal(request, reason);
         onOutcome(
           { kind: "not-run", reason, arrived: false },
           { load: loadOf(gate), route: null },
@@ -257,7 +276,7 @@
           refuse("leaving");
         },
         refuse(reason, waitMs) {
-          logRefusal(request, reason, waitMs);
+          noteRefusal(request, reason, waitMs);
           onOutcome(
             { kind: "not-run", reason, waitMs, arrived: false },
             { load: loadOf(gate), route: null },
@@ -285,8 +304,10 @@
         onChange();
       }
       expireJobs(gate, now, runsEndAt);
-      for (const { request, connection } of runs) {
-        if (now > request.expiresAt + OVERDUE_MS) connection.close();
+      for (const run of runs) {
+        if (now <= run.request.expiresAt + OVERDUE_MS) continue;
+        run.overdue = true;
+        run.connection.close();
       }
       pool.sweep(now);
     },
@@ -294,10 +315,35 @@
       runsEndAt = endsAt;
     },
     routeExpiringAt: (expiresAt) => routeExpiringAt(runs, expiresAt),
-    work: () => ({ running: gate.running, waiting: gate.waiting }),
+    work: () => ({
+      running: gate.running,
+      waiting: gate.waiting,
+      limit: gate.limit,
+    }),
   };
 }
 
+/** Labels of a call to the server by its outcome. */
+const CALL_LABELS: {
+  [Kind in CallOutcome["kind"]]: (
+    outcome: Extract<CallOutcome, { kind: Kind }>,
+    run: Run,
+  ) => { outcome: string; reason: string; code: string };
+} = {
+  answered: ({ status }) => ({
+    outcome: "answered",
+    reason: "",
+    code: `${Math.floor(status / 100)}xx`,
+  }),
+  "not-run": ({ reason }) => ({ outcome: "rejected", reason, code: "" }),
+  // A call that was given up here ends as if its connection had been lost.
+  unknown: ({ reason }, { cancelled, overdue }) => ({
+    outcome: "unknown",
+    reason: overdue ? "overdue" : cancelled ? "cancelled" : reason,
+    code: "",
+  }),
+};
+
 /** Whether the server was slow after its start when it was last heard. */
 function isCold({ coldUntil, heardAt }: Registration): boolean {
   return coldUntil > heardAt;
--- a/src/backend/work.ts
+++ b/src/backend/work.ts
@@ -1,2 +1,7 @@
 /** Requests at the gate of the backend server. */
-export type Work = { running: number; waiting: number };
+export type Work = {
+  running: number;
+  waiting: number;
+  /** Most that run at once. */
+  limit: number;
+};
--- a/src/edge/client_connections.ts
+++ b/src/edge/client_connections.ts
@@ -9,4 +9,6 @@
   drain(): void;
   /** Closes the connections without a request. */
   closeIdle(): void;
+  /** How many are open. */
+  size(): number;
 };
--- a/src/edge/create_client_connections.ts
+++ b/src/edge/create_client_connections.ts
@@ -180,6 +180,7 @@
     closeIdle() {
       for (const client of clients) client.closeIfIdle();
     },
+    size: () => clients.size,
   };
 }
 
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -1,6 +1,8 @@
 import type { Socket } from "node:net";
 import { createFrameReader } from "./create_frame_reader.ts";
 import type { Link } from "./link.ts";
+import type { Loss } from "./loss.ts";
+import { lossOf } from "./loss_of.ts";
 import type { Message } from "./message.ts";
 import { messageCodec } from "./message_codec.ts";
 
@@ -14,22 +16,23 @@
   { steadyTime, onMessage, onClose }: {
     steadyTime: () => number;
     onMessage: (message: Message) => void;
-    onClose: (reason: string) => void;
+    onClose: (loss: Loss) => void;
   },
 ): Link {
   let closed = false;
   let queue: Buffer[] = [];
   let queuedBytes = 0;
-  const close = (reason: string) => {
+  const close = (loss: Loss) => {
     if (closed) return;
     closed = true;
     socket.destroy();
-    onClose(reason);
+    onClose(loss);
   };
   const read = createFrameReader(MAX_FRAME_BYTES, (frame) => {
     const message = unpack(frame);
-    if (message === null) close("unreadable message");
-    else if (!closed) onMessage(message);
+    if (message === null) {
+      close({ kind: "protocol", reason: "unreadable message" });
+    } else if (!closed) onMessage(message);
   });
   const flush = () => {
     // One write of joined frames costs less than a vector of small ones.
@@ -50,13 +53,18 @@
     },
     receive(chunk) {
       link.receivedAt = steadyTime();
-      if (!read(chunk)) close("oversized message");
+      if (!read(chunk)) {
+        close({ kind: "protocol", reason: "oversized message" });
+      }
     },
-    close: () => close("closed"),
+    close: () => close({ kind: "given-up", reason: "closed" }),
   };
   socket.setNoDelay(true);
-  socket.on("error", ({ message }) => close(message));
-  socket.on("close", () => close("connection closed"));
+  socket.on("error", (fault) => close(lossOf(fault)));
+  socket.on(
+    "close",
+    () => close({ kind: "closed", reason: "connection closed" }),
+  );
   return link;
 }
 
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -1,6 +1,7 @@
 import type { Random } from "../core/random.ts";
 import { createServer } from "node:net";
 import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { acceptLink } from "./accept_link.ts";
 import { createPeer } from "./create_peer.ts";
 import type { Entry } from "./entry.ts";
@@ -35,6 +36,7 @@
     self,
     steadyTime,
     log,
+    metrics,
     serve,
     configuration,
     onConfig,
@@ -48,6 +50,7 @@
     self: () => Entry;
     steadyTime: () => number;
     log: Logger;
+    metrics: Metrics;
     serve: Serve;
     /** The configuration in force, as the operator wrote it. */
     configuration: () => { version: number; bytes: Uint8Array } | null;
@@ -84,6 +87,7 @@
     openPeerLink(peer, {
       steadyTime,
       log,
+      metrics,
       hello: self,
       onConfig,
       onDeparted,
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -2,6 +2,8 @@
 import { RouteReport } from "../calls/route_report.ts";
 import { connectWithBuffer } from "../core/connect_with_buffer.ts";
 import type { Logger } from "../core/logger.ts";
+import { count } from "../metrics/count.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
 import type { Message } from "./message.ts";
@@ -15,6 +17,7 @@
 type Handlers = {
   steadyTime: () => number;
   log: Logger;
+  metrics: Metrics;
   hello: () => Entry;
   onEntry: (peer: Peer) => void;
   onLost: () => void;
@@ -26,7 +29,7 @@
 
 /** Connects to a peer; its calls fail as unknown when the link is lost. */
 export function openPeerLink(peer: Peer, handlers: Handlers): void {
-  const { steadyTime, log, hello, onLost } = handlers;
+  const { steadyTime, log, metrics, hello, onLost } = handlers;
   const [host, port] = peer.address.split(":") as [string, string];
   peer.connecting = true;
   const socket = connectWithBuffer(
@@ -34,14 +37,17 @@
     (chunk) => link.receive(chunk),
   );
   const timer = setTimeout(
-    () => socket.destroy(new Error("connect timed out")),
+    () =>
+      socket.destroy(
+        Object.assign(new Error("connect timed out"), { code: "ETIMEDOUT" }),
+      ),
     CONNECT_TIMEOUT_MS,
   );
   let open = false;
   const link = createLink(socket, {
     steadyTime,
     onMessage: (message) => receive(peer, message, handlers),
-    onClose(reason) {
+    onClose({ kind, reason }) {
       clearTimeout(timer);
       const now = steadyTime();
       peer.connecting = false;
@@ -52,6 +58,8 @@
           reason,
           calls: peer.calls.size,
         });
+        count(metrics, "peer_links_lost", { reason: kind });
+        count(metrics, "peer_calls_lost", {}, peer.calls.size);
       }
       peer.downSince ??= now;
       peer.link = null;
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -117,11 +117,24 @@
     }
   };
 
-  const refuse = (call: OpenCall, reason: string, roomMs: number) => {
+  const countUnserved = (
+    outcome: "refusal" | "failure" | "cancelled" | "no-route",
+    reason = "",
+    service = "",
+  ) => count(metrics, "requests_unserved", { outcome, reason, service });
+
+  /** `full` names a service without room, if that is the reason. */
+  const refuse = (
+    call: OpenCall,
+    reason: string,
+    roomMs: number,
+    full?: string,
+  ) => {
     const now = steadyTime();
+    countUnserved("refusal", reason, full ?? call.service);
     reply(call, {
       kind: "refusal",
-      reason,
+      reason: full === undefined ? reason : `${reason} of ${full}`,
       retryAfterMs: returnAfter({
         targetLatencyMs: call.route.targetLatencyMs,
         runMs: runTime(admission, call.route.name),
@@ -194,8 +207,10 @@
     else graph.callees.set(route.name, costs);
   };
 
-  const fail = (call: OpenCall, reason: string, expired: boolean) =>
+  const fail = (call: OpenCall, reason: string, expired: boolean) => {
+    countUnserved("failure", reason, call.service);
     reply(call, { kind: "failure", reason, expired });
+  };
 
   /** Takes the newest loads into the admission. */
   const refresh = (now: number) => {
@@ -212,6 +227,16 @@
       });
     }
   };
+  const spend = (
+    call: OpenCall,
+    kind: Parameters<typeof spendRetry>[1],
+  ) => {
+    const { service, route } = call;
+    const key = kind === "single" ? service : route.name;
+    const spent = spendRetry(budget, kind, key);
+    count(metrics, spent ? "retries" : "retries_denied", { service, kind });
+    return spent;
+  };
   /** Whether sending the request once more can still help its client. */
   const mayRetry = (call: OpenCall, answered: boolean) => {
     const { route, service, attempts, expiresAt } = call;
@@ -221,10 +246,8 @@
     if (endsAt - steadyTime() < least) return false;
     const costs = graph.callees.get(route.name) ??
       admission.roots.get(route.name)?.costs ?? [];
-    if (makesNoCalls(costs, service)) {
-      return spendRetry(budget, "single", service);
-    }
-    return spendRetry(budget, answered ? "answered" : "nested", route.name);
+    if (makesNoCalls(costs, service)) return spend(call, "single");
+    return spend(call, answered ? "answered" : "nested");
   };
   const retry = (call: OpenCall) => {
     call.refusedBy.add(call.target!.address);
@@ -257,7 +280,7 @@
       if (!leaving) call.refusals++;
       call.refusal = { reason, roomMs: leaving ? RESTART_MS : waitMs };
       const again = call.refusals < MOST_REFUSALS && reason !== "expired" &&
-        (!arrived || spendRetry(budget, "single", call.service));
+        (!arrived || spend(call, "single"));
       if (again) send(call);
       else if (call.earlier !== null) reply(call, call.earlier);
       else if (call.attempts > 0) fail(call, reason, reason === "expired");
@@ -276,6 +299,7 @@
       const current = routes();
       if (current === null) {
         log("request-refused", { id: request.id, reason: "no-configuration" });
+        countUnserved("refusal", "no-configuration");
         onReply({
           kind: "refusal",
           reason: "no-configuration",
@@ -291,6 +315,7 @@
           host: request.host,
           version,
         });
+        countUnserved("no-route");
         onReply({ kind: "no-route" });
         return ignore;
       }
@@ -333,7 +358,7 @@
         if (now - admission.updatedAt >= UPDATE_MS) refresh(now);
         const decision = admit(admission, route.name, random);
         if (!decision.admitted) {
-          refuse(call, `overload of ${decision.service}`, 0);
+          refuse(call, "overload", 0, decision.service);
           return ignore;
         }
       }
@@ -341,6 +366,7 @@
       return () => {
         if (!open.delete(call)) return;
         call.cancel();
+        countUnserved("cancelled", "", service);
         log("request-cancelled", {
           id: request.id,
           route: route.name,
--- /dev/null
+++ b/src/sidecar/counters.ts
@@ -0,0 +1,115 @@
+import type { CallOutcome } from "../calls/call_outcome.ts";
+import type { Labels } from "../metrics/labels.ts";
+import type { Loss } from "../mesh/loss.ts";
+import type { RowStore } from "./row_store.ts";
+
+type Counter = {
+  help: string;
+  /** Label combinations that are known before anything is counted. */
+  series: readonly Labels[];
+};
+
+type UnknownReason = Extract<CallOutcome, { kind: "unknown" }>["reason"];
+type NotRunReason = Extract<CallOutcome, { kind: "not-run" }>["reason"];
+
+const FROM = ["client", "server"];
+const REPLIES = ["answer", "refusal", "failure"];
+const CODES = ["2xx", "3xx", "4xx", "5xx"];
+const GATE_REASONS: readonly NotRunReason[] = [
+  "overload",
+  "expired",
+  "leaving",
+  "no-server",
+  "other-server",
+];
+const REJECTED_REASONS: readonly NotRunReason[] = [
+  "server-rejected",
+  "other-server",
+  "connect-failed",
+];
+const UNKNOWN_REASONS: readonly (UnknownReason | "cancelled" | "overdue")[] = [
+  "connection-lost",
+  "malformed-response",
+  "mismatched-response",
+  "truncated-response",
+  "unsigned-response",
+  "cancelled",
+  "overdue",
+];
+const LOSSES: readonly Loss["kind"][] = [
+  "refused",
+  "reset",
+  "timeout",
+  "unreachable",
+  "closed",
+  "given-up",
+  "protocol",
+  "other",
+];
+const OPERATIONS: readonly (keyof RowStore)[] = ["list", "changes", "put"];
+
+const operations = OPERATIONS.map((operation) => ({ operation }));
+const call = (outcome: string, { reason = "", code = "" }) => ({
+  outcome,
+  reason,
+  code,
+});
+
+/** What a daemon counts. */
+export const Counters: Readonly<Record<string, Counter>> = {
+  requests: {
+    help: "Replies to requests of clients and of the own server.",
+    series: FROM.flatMap((from) =>
+      REPLIES.map((outcome) => ({ from, outcome }))
+    ),
+  },
+  requests_unserved: {
+    help: "Requests without an answer of a server. The service is the one " +
+      "without room where that is the reason.",
+    series: [],
+  },
+  gate_refusals: {
+    help: "Requests that were turned away beside the own server.",
+    series: GATE_REASONS.map((reason) => ({ reason })),
+  },
+  server_calls: {
+    help: "Calls to the own server by what became of them.",
+    series: [
+      ...CODES.map((code) => call("answered", { code })),
+      ...REJECTED_REASONS.map((reason) => call("rejected", { reason })),
+      ...UNKNOWN_REASONS.map((reason) => call("unknown", { reason })),
+    ],
+  },
+  retries: {
+    help: "Requests that were sent once more.",
+    series: [],
+  },
+  retries_denied: {
+    help: "Requests that weren't sent once more for want of budget.",
+    series: [],
+  },
+  peer_links_lost: {
+    help: "Links to other daemons that were lost or couldn't be opened.",
+    series: LOSSES.map((reason) => ({ reason })),
+  },
+  peer_calls_lost: {
+    help: "Calls to other daemons that were under way on a lost link.",
+    series: [{}],
+  },
+  store_calls: {
+    help: "Calls to the store of the platform.",
+    series: operations,
+  },
+  store_call_failures: {
+    help: "Calls to the store of the platform without a valid answer.",
+    series: operations,
+  },
+  configurations_unreadable: {
+    help: "Configurations that didn't take force because of their content.",
+    series: [{}],
+  },
+  log_lines_dropped: {
+    help: "Log lines beyond the bound on lines of one event a second.",
+    series: [],
+  },
+};
--- a/src/sidecar/create_bounded_logger.ts
+++ b/src/sidecar/create_bounded_logger.ts
@@ -1,4 +1,6 @@
 import type { Logger } from "../core/logger.ts";
+import { count } from "../metrics/count.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import type { BoundedLogger } from "./bounded_logger.ts";
 
 // Lines a second by event; failures are kept before successes. Events that
@@ -22,6 +24,7 @@
 export function createBoundedLogger(
   write: Logger,
   steadyTime: () => number,
+  metrics: Metrics,
 ): BoundedLogger {
   let windowStartedAt = steadyTime();
   const written = new Map<string, number>();
@@ -37,10 +40,13 @@
     flushDropped,
     log(event, fields) {
       if (steadyTime() - windowStartedAt >= WINDOW_MS) flushDropped();
-      const count = (written.get(event) ?? 0) + 1;
-      written.set(event, count);
-      if (count <= (MOST_PER_S[event] ?? OTHERS_PER_S)) write(event, fields);
-      else dropped.set(event, (dropped.get(event) ?? 0) + 1);
+      const lines = (written.get(event) ?? 0) + 1;
+      written.set(event, lines);
+      if (lines <= (MOST_PER_S[event] ?? OTHERS_PER_S)) write(event, fields);
+      else {
+        dropped.set(event, (dropped.get(event) ?? 0) + 1);
+        count(metrics, "log_lines_dropped", { event });
+      }
     },
   };
 }
--- /dev/null
+++ b/src/sidecar/service_servers.ts
@@ -0,0 +1,20 @@
+import type { Backend } from "../backend/backend.ts";
+import type { Mesh } from "../mesh/mesh.ts";
+
+/** Returns how many servers of each service take work, 0 for those known. */
+export function serviceServers(
+  service: string,
+  backend: Backend,
+  mesh: Mesh,
+  /** Services of the configuration. */
+  known: Iterable<string>,
+): Map<string, number> {
+  const servers = new Map<string, number>();
+  for (const name of known) servers.set(name, 0);
+  for (const [name, peers] of mesh.index().serving) {
+    servers.set(name, peers.length);
+  }
+  const own = Number(backend.available());
+  servers.set(service, (servers.get(service) ?? 0) + own);
+  return servers;
+}
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -8,9 +8,8 @@
 import { createMesh } from "../mesh/create_mesh.ts";
 import type { Entry } from "../mesh/entry.ts";
 import { createAdmission } from "../origin/create_admission.ts";
-import { createMetrics } from "../metrics/create_metrics.ts";
-import { formatPrometheus } from "../metrics/format_prometheus.ts";
-import { takeSnapshot } from "../metrics/take_snapshot.ts";
+import { count } from "../metrics/count.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { createOrigin } from "../origin/create_origin.ts";
 import { createRetryBudget } from "../origin/create_retry_budget.ts";
 import { resizeRetryBudget } from "../origin/resize_retry_budget.ts";
@@ -18,6 +17,8 @@
 import type { RouteTable } from "../routes/route_table.ts";
 import type { RoutesInForce } from "../routes/routes_in_force.ts";
 import type { Adapter } from "./adapter.ts";
+import { countStoreCalls } from "./count_store_calls.ts";
+import { createExposition } from "./create_exposition.ts";
 import { createForwarder } from "./create_forwarder.ts";
 import { delay } from "./delay.ts";
 import { FleetRows, joinFleet } from "./join_fleet.ts";
@@ -25,6 +26,7 @@
 import { logCallers } from "./log_callers.ts";
 import type { Sidecar } from "./sidecar.ts";
 import type { SidecarSettings } from "./sidecar_settings.ts";
+import { startCounters } from "./start_counters.ts";
 import { startTicker } from "./start_ticker.ts";
 import { stopInOrder } from "./stop_in_order.ts";
 import { watchConfiguration } from "./watch_configuration.ts";
@@ -51,10 +53,11 @@
 const DEPARTURE_WRITE_MS = 800;
 /** Starts a daemon beside a backend server. */
 export function startSidecar(
-  { settings, adapter, log, random, steadyTime }: {
+  { settings, adapter, log, metrics, random, steadyTime }: {
     settings: SidecarSettings;
     adapter: Adapter;
     log: Logger;
+    metrics: Metrics;
     random: Random;
     /** Steady time in ms. */
     steadyTime: () => number;
@@ -62,14 +65,17 @@
 ): Sidecar {
   const { name, service, dataCentre, listen } = settings;
   let { storeAddress, retries, gracePeriodMs } = settings;
-  const { store, configurationRow } = adapter;
+  const { configurationRow } = adapter;
+  const store = countStoreCalls(adapter.store, metrics);
   let routes: RoutesInForce | null = null;
-  let configuration: { version: number; bytes: Uint8Array } | null = null;
+  let configuration:
+    | { version: number; bytes: Uint8Array; since: number }
+    | null = null;
   let stopped: Promise<void> | null = null;
   let leaving = false;
   let refusing = false;
 
-  const metrics = createMetrics();
+  startCounters(metrics);
   const graph = createCallGraph(service, steadyTime());
   const admission = createAdmission(steadyTime());
   const backend = createBackend({
@@ -84,6 +90,7 @@
     random,
     steadyTime,
     log,
+    metrics,
     onChange: () => mesh.announce(),
   });
   const self = (): Entry => {
@@ -110,6 +117,7 @@
     const parsed = adapter.readConfiguration(bytes);
     if (!parsed.ok) {
       const issue = parsed.issues[0]!;
+      count(metrics, "configurations_unreadable", {});
       log("configuration-unreadable", {
         source,
         at: issue.path.join("."),
@@ -122,7 +130,7 @@
     if (next === routes) return;
     const first = routes === null;
     routes = next;
-    configuration = { version: table.version, bytes };
+    configuration = { version: table.version, bytes, since: steadyTime() };
     log("configuration-in-force", {
       version: table.version,
       routes: table.routes.length,
@@ -146,6 +154,7 @@
     self,
     steadyTime,
     log,
+    metrics,
     configuration: () => configuration,
     onConfig(version, bytes) {
       if (version > (configuration?.version ?? 0)) take(bytes, "peer");
@@ -156,6 +165,7 @@
     onSilence: () => store.reconnect(),
     serve(request, onOutcome) {
       if (!refusing) return backend.serve(request, onOutcome);
+      count(metrics, "gate_refusals", { reason: "leaving" });
       onOutcome({ kind: "not-run", reason: "leaving", arrived: false }, {
         load: backend.load(),
         route: null,
@@ -261,8 +271,27 @@
     server.close();
   };
 
+  const ready = () => routes !== null && stopped === null;
+  const exposition = createExposition({
+    service,
+    metrics,
+    backend,
+    mesh,
+    origin,
+    connections,
+    admission,
+    budget,
+    watch,
+    configuration: () => configuration,
+    services: () => routes?.table.services.keys() ?? [],
+    ready,
+    stopping: () => stopped !== null,
+    ticker,
+    steadyTime,
+  });
+
   return {
-    ready: () => routes !== null && stopped === null,
+    ready,
     announce: (announcement) => backend.announce(announcement),
     async depart(departure) {
       backend.depart(departure);
@@ -284,7 +313,7 @@
         delay(DEPARTURE_WRITE_MS),
       ]);
     },
-    metrics: () => formatPrometheus(takeSnapshot(metrics)),
+    metrics: exposition,
     reload(next) {
       ({ retries, gracePeriodMs } = next);
       resizeRetryBudget(budget, retries, 1 + mesh.peers.size);
--- a/src/sidecar/watch_configuration.ts
+++ b/src/sidecar/watch_configuration.ts
@@ -53,9 +53,15 @@
   /** A watcher has confirmed the version in force. */
   confirm: () => void;
   storeReachable: () => boolean;
+  /**
+   * Steady time in ms at which nothing newer was known to be in the store,
+   * -Infinity before the first time.
+   */
+  currentAt: () => number;
 } {
   let storeReachable = true;
   let confirmedAt = -Infinity;
+  let readAt = -Infinity;
   let watching = true;
   const neighbours = () =>
     mesh.index().entries.filter((entry) => entry.dataCentre === dataCentre);
@@ -105,6 +111,9 @@
       storeReachable = reachable;
       mesh.announce();
     },
+    onRead() {
+      readAt = steadyTime();
+    },
     onRow({ key, value, removed }) {
       if (key === row.key && !removed) onChange(value);
     },
@@ -114,5 +123,6 @@
       confirmedAt = steadyTime();
     },
     storeReachable: () => storeReachable,
+    currentAt: () => Math.max(confirmedAt, readAt),
   };
 }
--- a/src/sidecar/watch_table.ts
+++ b/src/sidecar/watch_table.ts
@@ -13,7 +13,7 @@
  * ends. When the store has dropped its history, all rows are read again.
  */
 export async function watchTable(
-  { store, table, waitMs, untilWanted, log, onReachable, onRow }: {
+  { store, table, waitMs, untilWanted, log, onReachable, onRead, onRow }: {
     store: RowStore;
     table: string;
     /** Longest time that one call waits for a change. */
@@ -23,6 +23,8 @@
     log: Logger;
     /** The store stopped answering, or answers again. */
     onReachable: (reachable: boolean) => void;
+    /** All rows have been handed out as they are in the store now. */
+    onRead: () => void;
     onRow: (row: { key: string; value: Buffer; removed: boolean }) => void;
   },
 ): Promise<never> {
@@ -47,6 +49,7 @@
       }
       after = page.version;
       for (const row of page.rows) onRow(row);
+      onRead();
       if (page.rows.length > 0) await delay(GATHER_MS);
     } catch (fault) {
       if (failures === 0) {
