Bound messages by bytes, framing and an account of the daemon

Callers of a faulty backend server: bytes without end kept a daemon busy or filled its memory until the deadline, and with it all other requests of the VM.

Cause: the reader kept a view for each part of a body, so that memory followed the count of chunks; trailers, blank lines before a head and what frames chunks weren't counted; a body could take 64 MB, for each slot of the server.

A body is now copied into blocks. Trailers together, and blank lines, stay within the limit on heads; the framing of chunks may be an eighth of the body and 64 KiB. Each message may hold what it leaves free at most: endless ones get less the more of them there are, and small ones find room. A response that finds none ends as unknown (502), a request that finds none hasn't run (503, Retry-After). The search for the end of a head goes on where it stopped, and chunks are joined into storage that doubles, so that single bytes cost no more than linear time.

--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -1,6 +1,7 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallReport } from "../calls/call_report.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import type { CallGraph } from "../costs/call_graph.ts";
@@ -58,6 +59,7 @@
     protocol,
     graph,
     services,
+    budget,
     random,
     steadyTime,
     log,
@@ -69,6 +71,8 @@
     graph: CallGraph;
     /** How many services the fleet runs. */
     services: () => number;
+    /** Holds what was read of unfinished responses. */
+    budget: ByteBudget;
     random: Random;
     steadyTime: () => number;
     log: Logger;
@@ -83,7 +87,7 @@
   let refusedConnections = 0;
   const gate = createGate(1);
   const runs = new Set<Run>();
-  const pool = createConnectionPool({ address, protocol, steadyTime });
+  const pool = createConnectionPool({ address, protocol, budget, steadyTime });
 
   const alive = (now: number) =>
     registration !== null &&
--- a/src/backend/create_connection_pool.ts
+++ b/src/backend/create_connection_pool.ts
@@ -1,3 +1,4 @@
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import { openServerConnection } from "./open_server_connection.ts";
 import type { ServerConnection } from "./server_connection.ts";
@@ -9,9 +10,11 @@
 
 /** Creates an empty pool of connections to `address`, `IP:PORT`. */
 export function createConnectionPool(
-  { address, protocol, steadyTime }: {
+  { address, protocol, budget, steadyTime }: {
     address: string;
     protocol: ServerProtocol;
+    /** Holds what was read of unfinished responses. */
+    budget: ByteBudget;
     steadyTime: () => number;
   },
 ): ConnectionPool {
@@ -27,6 +30,7 @@
       host,
       port: Number(port),
       protocol,
+      budget,
       steadyTime,
       onIdle(connection) {
         if (opened === generation) idle.push(connection);
--- a/src/backend/open_server_connection.ts
+++ b/src/backend/open_server_connection.ts
@@ -1,19 +1,29 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import { connectWithBuffer } from "../core/connect_with_buffer.ts";
 import { createMessageReader } from "../http1/create_message_reader.ts";
 import type { Message } from "../http1/message.ts";
+import type { ReadFault } from "../http1/read_fault.ts";
 import { responseFraming } from "../http1/response_framing.ts";
 import { writeMessage } from "../http1/write_message.ts";
 import type { ServerConnection } from "./server_connection.ts";
 import type { ServerProtocol } from "./server_protocol.ts";
 
-const LIMITS = { headBytes: 64 * 1024, bodyBytes: 64 * 1024 * 1024 };
+const MAX_HEAD_BYTES = 64 * 1024;
 // Where a server doesn't say how long it keeps an idle connection open.
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 
 const NOTHING = Buffer.alloc(0);
 
+const FAULT_REASON = {
+  malformed: "malformed-response",
+  "head-too-large": "oversized-response",
+  "body-too-large": "oversized-response",
+  "framing-too-large": "oversized-response",
+  "no-room": "no-room",
+} as const satisfies Record<ReadFault, string>;
+
 type Exchange = {
   request: CallRequest;
   onOutcome: (outcome: CallOutcome) => void;
@@ -25,10 +35,12 @@
  * before that.
  */
 export function openServerConnection(
-  { host, port, protocol, steadyTime, onIdle, onClose }: {
+  { host, port, protocol, budget, steadyTime, onIdle, onClose }: {
     host: string;
     port: number;
     protocol: ServerProtocol;
+    /** Holds what was read of unfinished responses. */
+    budget: ByteBudget;
     steadyTime: () => number;
     onIdle: (connection: ServerConnection) => void;
     onClose: (connection: ServerConnection) => void;
@@ -39,6 +51,10 @@
   let closed = false;
   // After a response to another request nothing tells whether more follow.
   let reusable = true;
+  const limits = {
+    headBytes: MAX_HEAD_BYTES,
+    bodyBytes: Math.floor(budget.limit / 2),
+  };
   const socket = connectWithBuffer(
     { host, port, allowHalfOpen: true },
     (chunk) => {
@@ -56,6 +72,7 @@
     if (closed) return;
     closed = true;
     socket.destroy();
+    reader.close();
     settle(outcome);
     onClose(connection);
   };
@@ -95,9 +112,10 @@
   };
   const reader = createMessageReader({
     framing: responseFraming,
-    limits: () => LIMITS,
+    limits: () => limits,
+    budget,
     onMessage,
-    onFault: () => close({ kind: "unknown", reason: "malformed-response" }),
+    onFault: (fault) => close({ kind: "unknown", reason: FAULT_REASON[fault] }),
   });
   const connection: ServerConnection = {
     idleSince: steadyTime(),
--- a/src/backend/server_connection_test.ts
+++ b/src/backend/server_connection_test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import { createByteBudget } from "../core/create_byte_budget.ts";
 import { openServerConnection } from "./open_server_connection.ts";
 import type { ServerProtocol } from "./server_protocol.ts";
 
@@ -17,6 +18,7 @@
     keepAliveMs: null,
   }),
 };
+const BUDGET_BYTES = 1_000_000;
 const REQUEST: CallRequest = {
   id: "q",
   method: "GET",
@@ -36,6 +38,7 @@
 /** Sends a request to a server that answers with `respond`. */
 async function outcomeOf(
   respond: (socket: Socket) => void,
+  budget = createByteBudget(BUDGET_BYTES),
 ): Promise<CallOutcome> {
   const server = createServer((socket) => {
     socket.on("error", () => {});
@@ -49,6 +52,7 @@
       host: "127.0.0.1",
       port,
       protocol,
+      budget,
       steadyTime: () => 0,
       onIdle: ({ close }) => close(),
       onClose: () => {},
@@ -94,6 +98,7 @@
       host: "127.0.0.1",
       port: 1,
       protocol,
+      budget: createByteBudget(BUDGET_BYTES),
       steadyTime: () => 0,
       onIdle: () => {},
       onClose: () => {},
@@ -105,3 +110,19 @@
     arrived: false,
   });
 });
+
+test("a response that finds no room leaves the outcome unknown", async (t) => {
+  const budget = createByteBudget(BUDGET_BYTES);
+  budget.take(900_000);
+  const outcome = await outcomeOf(
+    (socket) =>
+      socket.end(
+        `HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n${
+          "a".repeat(200_000)
+        }`,
+      ),
+    budget,
+  );
+  t.deepEqual(outcome, { kind: "unknown", reason: "no-room" });
+  t.is(budget.held(), 900_000);
+});
--- a/src/calls/call_outcome.ts
+++ b/src/calls/call_outcome.ts
@@ -36,6 +36,8 @@
   | "malformed-response"
   | "mismatched-response"
   | "truncated-response"
+  | "oversized-response"
+  | "no-room"
   | "unsigned-response"
   | "link-lost"
   | "expired";
--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import { createByteBudget } from "../core/create_byte_budget.ts";
 import type { OriginRequest } from "../origin/origin_request.ts";
 import type { Reply } from "../origin/reply.ts";
 import type { ClientProtocol } from "./client_protocol.ts";
@@ -45,6 +46,7 @@
   const connections = createClientConnections({
     protocol,
     limits: () => LIMITS,
+    budget: createByteBudget(1_000_000),
     steadyTime: () => now,
     log: () => {},
     origin: {
--- a/src/edge/create_client_connections.ts
+++ b/src/edge/create_client_connections.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import { createMessageReader } from "../http1/create_message_reader.ts";
 import type { MessageLimits } from "../http1/message_limits.ts";
@@ -40,10 +41,12 @@
 
 /** Serves clients: any number of requests a connection, replies in order. */
 export function createClientConnections(
-  { origin, protocol, limits, steadyTime, log }: {
+  { origin, protocol, limits, budget, steadyTime, log }: {
     origin: Origin;
     protocol: ClientProtocol;
     limits: () => Limits;
+    /** Holds what was read of unfinished requests. */
+    budget: ByteBudget;
     steadyTime: () => number;
     log: Logger;
   },
@@ -72,6 +75,7 @@
      */
     const hangUp = () => {
       reading = false;
+      reader.close();
       socket.end();
       setTimeout(() => socket.destroy(), LINGER_MS).unref();
     };
@@ -95,6 +99,7 @@
     const reject = (fault: ReadFault | "head-timeout") => {
       log("connection-rejected", { fault, peer: socket.remoteAddress });
       reading = false;
+      reader.close();
       const head = protocol.formatFault(fault);
       client.slots.push({
         request: null,
@@ -107,6 +112,7 @@
     const reader = createMessageReader({
       framing: requestFraming,
       limits,
+      budget,
       onFault: reject,
       onContinue() {
         if (client.slots.length === 0) socket.write(CONTINUE);
@@ -152,6 +158,7 @@
       if (gone) return;
       gone = true;
       clients.delete(client);
+      reader.close();
       for (const { reply, cancel } of client.slots.splice(0)) {
         if (reply === null) cancel();
       }
--- a/src/http1/create_message_reader.ts
+++ b/src/http1/create_message_reader.ts
@@ -1,3 +1,6 @@
+import type { ByteBudget } from "../core/byte_budget.ts";
+import { createByteHold } from "../core/create_byte_hold.ts";
+import { createBodyBuffer } from "./create_body_buffer.ts";
 import type { Fields } from "./fields.ts";
 import type { Framing } from "./framing.ts";
 import type { Message } from "./message.ts";
@@ -11,6 +14,10 @@
 const HEAD_END = Buffer.from("\r\n\r\n");
 const CHUNK_LINE = /^([0-9a-fA-F]{1,8})(?:[ \t]*;[^\0\r\n]*)?$/;
 const MAX_CHUNK_LINE_BYTES = 256;
+// Each chunk costs time, however small it is. What frames the chunks of a body
+// may be this share of it, and this much besides.
+const MAX_FRAMING_SHARE = 1 / 8;
+const MAX_FRAMING_BYTES = 64 * 1024;
 const VERSION_1_0 = / HTTP\/1\.0$|^HTTP\/1\.0 /;
 const CLOSE = /(?:^|,)[ \t]*close[ \t]*(?:,|$)/i;
 const KEEP_ALIVE = /(?:^|,)[ \t]*keep-alive[ \t]*(?:,|$)/i;
@@ -27,68 +34,105 @@
 
 /**
  * Creates a reader that hands out whole messages. After a fault it reads
- * nothing more: what follows can't be told apart from the faulty message.
+ * nothing more: what follows can't be told apart from the faulty message. What
+ * it keeps of an unfinished message is held in `budget`.
  */
 export function createMessageReader(
-  { framing, limits, onMessage, onFault, onContinue }: {
+  { framing, limits, budget, onMessage, onFault, onContinue }: {
     framing: (startLine: string, fields: Fields) => Framing | "malformed";
     limits: () => MessageLimits;
+    budget: ByteBudget;
     onMessage: (message: Message) => void;
     onFault: (fault: ReadFault) => void;
     /** A head asks for `100 Continue` before its body. */
     onContinue?: () => void;
   },
 ): MessageReader {
+  const hold = createByteHold(budget);
+  const body = createBodyBuffer();
   let state: State = "head";
+  // Unread bytes begin at `at`; the first `searched` of them were searched.
   let buffer: Buffer = EMPTY;
+  let at = 0;
+  let searched = 0;
+  // Where joined chunks lie; `buffer` is its beginning.
+  let storage: Buffer = EMPTY;
   let startLine = "";
   let fields: Fields = [];
-  let parts: Buffer[] = [];
-  let bodyBytes = 0;
   let remaining = 0;
+  let blankBytes = 0;
+  let framingBytes = 0;
+  let trailerBytes = 0;
 
-  const fail = (fault: ReadFault) => {
+  const close = () => {
     state = "failed";
-    buffer = EMPTY;
-    parts = [];
+    buffer = storage = EMPTY;
+    at = 0;
+    body.clear();
+    hold.resize(0);
+  };
+  const fail = (fault: ReadFault) => {
+    close();
     onFault(fault);
     return false;
   };
-  const finish = (persistent: boolean) => {
-    const body = parts.length === 0
-      ? EMPTY
-      : parts.length === 1
-      ? parts[0]!
-      : Buffer.concat(parts, bodyBytes);
+  const finish = (whole: Buffer, persistent: boolean) => {
     state = "head";
-    parts = [];
-    bodyBytes = 0;
-    onMessage({ startLine, fields, body, persistent });
+    blankBytes = framingBytes = trailerBytes = 0;
+    hold.resize(0);
+    onMessage({ startLine, fields, body: whole, persistent });
     return true;
   };
-  const take = (bytes: number) => {
-    const part = buffer.subarray(0, bytes);
-    buffer = buffer.subarray(bytes);
-    parts.push(part);
-    bodyBytes += bytes;
-    return part;
+  const unread = () => buffer.length - at;
+  /** Returns how many bytes precede `mark`, or -1 where it isn't there yet. */
+  const find = (mark: Buffer) => {
+    const from = at + Math.max(0, searched - mark.length + 1);
+    const found = buffer.indexOf(mark, from);
+    searched = found < 0 ? unread() : 0;
+    return found < 0 ? -1 : found - at;
+  };
+  const append = (chunk: Buffer) => {
+    if (unread() === 0) {
+      buffer = storage = chunk;
+      at = 0;
+      return;
+    }
+    if (buffer.length + chunk.length > storage.length) {
+      const rest = buffer.subarray(at);
+      storage = Buffer.allocUnsafe(2 * (rest.length + chunk.length));
+      rest.copy(storage);
+      buffer = storage.subarray(0, rest.length);
+      at = 0;
+    }
+    chunk.copy(storage, buffer.length);
+    buffer = storage.subarray(0, buffer.length + chunk.length);
+  };
+  /** Moves what there is of the `remaining` bytes into the body. */
+  const collect = () => {
+    const bytes = Math.min(remaining, unread());
+    body.add(buffer.subarray(at, at + bytes));
+    at += bytes;
+    remaining -= bytes;
   };
 
   /** Each step reads one element; false means that it needs more bytes. */
   const steps: Record<State, () => boolean> = {
     head() {
-      while (buffer.length >= 2 && buffer[0] === 13 && buffer[1] === 10) {
-        buffer = buffer.subarray(2);
-      }
-      if (buffer.length === 0) return false;
-      const end = buffer.indexOf(HEAD_END);
       const { headBytes, bodyBytes: maxBody } = limits();
-      if ((end < 0 ? buffer.length : end) > headBytes) {
+      while (unread() >= 2 && buffer[at] === 13 && buffer[at + 1] === 10) {
+        at += 2;
+        blankBytes += 2;
+        searched = 0;
+      }
+      if (blankBytes > headBytes) return fail("head-too-large");
+      if (unread() === 0) return false;
+      const bytes = find(HEAD_END);
+      if ((bytes < 0 ? unread() : bytes) > headBytes) {
         return fail("head-too-large");
       }
-      if (end < 0) return false;
-      const head = parseHead(buffer.toString("latin1", 0, end));
-      buffer = buffer.subarray(end + HEAD_END.length);
+      if (bytes < 0) return false;
+      const head = parseHead(buffer.toString("latin1", at, at + bytes));
+      at += bytes + HEAD_END.length;
       if (head === null) return fail("malformed");
       ({ startLine, fields } = head);
       const stated = framing(startLine, fields);
@@ -98,7 +142,7 @@
         state = "chunk-line";
       } else if (stated.kind === "until-close") state = "until-close";
       else if (stated.bytes > maxBody) return fail("body-too-large");
-      else if (stated.bytes === 0) return finish(isPersistent());
+      else if (stated.bytes === 0) return finish(EMPTY, isPersistent());
       else {
         remaining = stated.bytes;
         state = "fixed";
@@ -107,58 +151,67 @@
       return true;
     },
     fixed() {
-      if (buffer.length === 0) return false;
-      remaining -= take(Math.min(remaining, buffer.length)).length;
-      return remaining === 0 && finish(isPersistent());
+      if (body.bytes() === 0 && unread() >= remaining) {
+        const whole = buffer.subarray(at, at + remaining);
+        at += remaining;
+        return finish(whole, isPersistent());
+      }
+      collect();
+      return remaining === 0 && finish(body.take(), isPersistent());
     },
     "until-close"() {
-      if (buffer.length === 0) return false;
-      take(buffer.length);
-      if (bodyBytes > limits().bodyBytes) return fail("body-too-large");
+      if (body.bytes() + unread() > limits().bodyBytes) {
+        return fail("body-too-large");
+      }
+      remaining = unread();
+      collect();
       return false;
     },
     "chunk-line"() {
-      const end = buffer.indexOf(LINE_END);
-      if ((end < 0 ? buffer.length : end) > MAX_CHUNK_LINE_BYTES) {
+      const bytes = find(LINE_END);
+      if ((bytes < 0 ? unread() : bytes) > MAX_CHUNK_LINE_BYTES) {
         return fail("malformed");
       }
-      if (end < 0) return false;
-      const match = CHUNK_LINE.exec(buffer.toString("latin1", 0, end));
-      buffer = buffer.subarray(end + LINE_END.length);
+      if (bytes < 0) return false;
+      const match = CHUNK_LINE.exec(buffer.toString("latin1", at, at + bytes));
+      at += bytes + LINE_END.length;
       if (match === null) return fail("malformed");
+      framingBytes += bytes + 2 * LINE_END.length;
+      if (
+        framingBytes > body.bytes() * MAX_FRAMING_SHARE + MAX_FRAMING_BYTES
+      ) return fail("framing-too-large");
       remaining = parseInt(match[1]!, 16);
-      if (bodyBytes + remaining > limits().bodyBytes) {
+      if (body.bytes() + remaining > limits().bodyBytes) {
         return fail("body-too-large");
       }
       state = remaining === 0 ? "trailer" : "chunk";
       return true;
     },
     chunk() {
-      if (buffer.length === 0) return false;
-      remaining -= take(Math.min(remaining, buffer.length)).length;
+      if (unread() === 0) return false;
+      collect();
       if (remaining === 0) state = "chunk-end";
       return true;
     },
     "chunk-end"() {
-      if (buffer.length < LINE_END.length) return false;
-      if (buffer[0] !== 13 || buffer[1] !== 10) return fail("malformed");
-      buffer = buffer.subarray(LINE_END.length);
+      if (unread() < LINE_END.length) return false;
+      if (buffer[at] !== 13 || buffer[at + 1] !== 10) return fail("malformed");
+      at += LINE_END.length;
       state = "chunk-line";
       return true;
     },
     trailer() {
-      const end = buffer.indexOf(LINE_END);
-      if ((end < 0 ? buffer.length : end) > limits().headBytes) {
+      const bytes = find(LINE_END);
+      const pending = bytes < 0 ? unread() : bytes;
+      if (trailerBytes + pending > limits().headBytes) {
         return fail("head-too-large");
       }
-      if (end < 0) return false;
-      buffer = buffer.subarray(end + LINE_END.length);
-      return end === 0 ? finish(isPersistent()) : true;
-    },
-    failed() {
-      buffer = EMPTY;
-      return false;
+      if (bytes < 0) return false;
+      at += bytes + LINE_END.length;
+      trailerBytes += bytes + LINE_END.length;
+      return bytes === 0 ? finish(body.take(), isPersistent()) : true;
     },
+    failed: () => false,
   };
 
   function isPersistent(): boolean {
@@ -175,14 +228,20 @@
 
   return {
     push(chunk) {
-      buffer = buffer.length === 0 ? chunk : Buffer.concat([buffer, chunk]);
+      if (state === "failed") return;
+      append(chunk);
       while (steps[state]()) { /* each step reads one element */ }
+      if (unread() === 0) {
+        buffer = storage = EMPTY;
+        at = 0;
+      }
+      if (!hold.resize(unread() + body.bytes())) fail("no-room");
     },
     end() {
-      if (state === "until-close") finish(false);
+      if (state === "until-close") finish(body.take(), false);
     },
-    partial: () =>
-      state !== "head" ? "body" : buffer.length > 0 ? "head" : "none",
+    close,
+    partial: () => state !== "head" ? "body" : unread() > 0 ? "head" : "none",
   };
 }
 
--- a/src/http1/message_reader.ts
+++ b/src/http1/message_reader.ts
@@ -7,6 +7,8 @@
    * a body that has no length.
    */
   end(): void;
+  /** Reads nothing more and gives up what was read of an unfinished message. */
+  close(): void;
   /** Which part of a message has been read only in part. */
   partial(): "none" | "head" | "body";
 };
--- a/src/http1/reader_test.ts
+++ b/src/http1/reader_test.ts
@@ -3,12 +3,15 @@
 import { createServer } from "node:http";
 import { connect } from "node:net";
 import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { createByteBudget } from "../core/create_byte_budget.ts";
 import { createMessageReader } from "./create_message_reader.ts";
 import type { Message } from "./message.ts";
 import { parseRequestLine } from "./parse_request_line.ts";
 import { requestFraming } from "./request_framing.ts";
 import { responseFraming } from "./response_framing.ts";
 
+const BUDGET_BYTES = 1_000_000;
 const LIMITS = { headBytes: 1_024, bodyBytes: 4_096 };
 
 function read(chunks: string[], framing = requestFraming, ended = false) {
@@ -17,6 +20,7 @@
   const reader = createMessageReader({
     framing,
     limits: () => LIMITS,
+    budget: createByteBudget(BUDGET_BYTES),
     onMessage: (message) => messages.push(message),
     onFault: (fault) => faults.push(fault),
   });
@@ -184,3 +188,148 @@
   );
   server.close();
 });
+
+// The bytes that come before a fault follow from the limits of the reader, the
+// framing of chunks by an eighth of the body and 64 KiB besides.
+const ENDLESS_LIMITS = { headBytes: 1_024, bodyBytes: 32_000 };
+const RESPONSE = "HTTP/1.1 200 OK\r\n";
+const CHUNKED = `${RESPONSE}Transfer-Encoding: chunked\r\n\r\n`;
+const ENDLESS: Record<
+  string,
+  { first: string; unit: string; fault: string; most: number }
+> = {
+  "chunks of one byte": {
+    first: CHUNKED,
+    unit: "1\r\na\r\n",
+    fault: "framing-too-large",
+    most: 100_000,
+  },
+  "chunks with long extensions": {
+    first: CHUNKED,
+    unit: `4;x=${"a".repeat(200)}\r\nabcd\r\n`,
+    fault: "framing-too-large",
+    most: 100_000,
+  },
+  "chunks of a fair size": {
+    first: CHUNKED,
+    unit: `100\r\n${"a".repeat(256)}\r\n`,
+    fault: "body-too-large",
+    most: 40_000,
+  },
+  "trailers": {
+    first: `${CHUNKED}0\r\n`,
+    unit: "X: y\r\n",
+    fault: "head-too-large",
+    most: 2_000,
+  },
+  "a trailer": {
+    first: `${CHUNKED}0\r\nX: `,
+    unit: "aaaaaaaaaa",
+    fault: "head-too-large",
+    most: 2_000,
+  },
+  "blank lines before a head": {
+    first: "",
+    unit: "\r\n",
+    fault: "head-too-large",
+    most: 2_000,
+  },
+  "a head": {
+    first: RESPONSE,
+    unit: "X: y\r\n",
+    fault: "head-too-large",
+    most: 2_000,
+  },
+  "a body until the close": {
+    first: `${RESPONSE}\r\n`,
+    unit: "aaaaaaaaaa",
+    fault: "body-too-large",
+    most: 33_000,
+  },
+};
+const GIVEN_UP_BYTES = 400_000;
+for (const [name, { first, unit, fault, most }] of Object.entries(ENDLESS)) {
+  for (const [size, units] of Object.entries({ small: 1, large: 2_000 })) {
+    test(`ends ${name} without end, in ${size} reads`, (t) => {
+      const budget = createByteBudget(BUDGET_BYTES);
+      const faults: string[] = [];
+      const reader = createMessageReader({
+        framing: responseFraming,
+        limits: () => ENDLESS_LIMITS,
+        budget,
+        onMessage: () => t.fail(),
+        onFault: (fault) => faults.push(fault),
+      });
+      const chunk = Buffer.from(unit.repeat(units));
+      let bytes = first.length;
+      reader.push(Buffer.from(first));
+      while (faults.length === 0 && bytes < GIVEN_UP_BYTES) {
+        reader.push(Buffer.from(chunk));
+        bytes += chunk.length;
+        t.true(budget.held() <= bytes);
+      }
+      t.deepEqual(faults, [fault]);
+      // A read is taken as a whole.
+      t.true(bytes <= most + chunk.length, `${bytes} bytes`);
+      t.is(budget.held(), 0);
+      reader.push(chunk);
+      t.deepEqual(faults, [fault]);
+    });
+  }
+}
+
+test("a body that doesn't fit into the budget ends in a fault", (t) => {
+  const budget = createByteBudget(4_000);
+  t.true(budget.take(2_000));
+  const faults: string[] = [];
+  const messages: Message[] = [];
+  const open = () =>
+    createMessageReader({
+      framing: responseFraming,
+      limits: () => LIMITS,
+      budget,
+      onMessage: (message) => messages.push(message),
+      onFault: (fault) => faults.push(fault),
+    });
+  const reader = open();
+  const head = Buffer.from(`${RESPONSE}Content-Length: 3000\r\n\r\n`);
+  reader.push(head);
+  reader.push(Buffer.alloc(900));
+  t.is(budget.held(), 2_900);
+  reader.push(Buffer.alloc(900));
+  t.deepEqual(faults, ["no-room"]);
+  t.is(budget.held(), 2_000);
+  budget.release(2_000);
+  const next = open();
+  for (const part of [head, Buffer.alloc(1_500), Buffer.alloc(1_500)]) {
+    next.push(part);
+  }
+  t.is(messages.length, 1);
+  t.is(budget.held(), 0);
+  const last = open();
+  last.push(head);
+  last.push(Buffer.alloc(900));
+  last.close();
+  t.is(budget.held(), 0);
+});
+
+test("memory follows the bytes of a body, not the count of its parts", (t) => {
+  const reader = createMessageReader({
+    framing: responseFraming,
+    limits: () => ({ headBytes: 1_024, bodyBytes: 64_000_000 }),
+    budget: createByteBudget(128_000_000),
+    onMessage: () => t.fail(),
+    onFault: (fault) => t.fail(fault),
+  });
+  const used = () => {
+    const { heapUsed, external } = process.memoryUsage();
+    return heapUsed + external;
+  };
+  const part = Buffer.from("aa");
+  const parts = 500_000;
+  reader.push(Buffer.from(`${RESPONSE}Content-Length: 60000000\r\n\r\n`));
+  const before = used();
+  for (let i = 0; i < parts; i++) reader.push(part);
+  // The body has 1 MB.
+  t.true(used() - before < 20_000_000, `${used() - before} bytes`);
+});
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -25,6 +25,8 @@
   storeAddress: Address,
   heartbeatMs: z.number().positive(),
   /** Time between SIGTERM and SIGKILL, in ms. */
+  /** Memory above which the process is killed. */
+  memoryBytes: z.number().positive(),
   gracePeriodMs: z.number().positive(),
   retries: z.object({
     /** Repeats that each request of a service allows the whole fleet. */
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -1,5 +1,6 @@
 import { createBackend } from "../backend/create_backend.ts";
 import { createServer } from "node:net";
+import { createByteBudget } from "../core/create_byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createCallGraph } from "../costs/create_call_graph.ts";
@@ -49,6 +50,11 @@
 // A departure that the store doesn't take in time is acknowledged all the
 // same: this process keeps to it as long as it lives.
 const DEPARTURE_WRITE_MS = 800;
+// Bodies that are read or wait for their readers may take this share of the
+// memory. Each can be copied into a frame and lie in a queue at the same time,
+// and the runtime takes about half of the memory.
+const BODIES_SHARE = 1 / 8;
+
 /** Starts a daemon beside a backend server. */
 export function startSidecar(
   { settings, adapter, log, random, steadyTime }: {
@@ -71,6 +77,9 @@
 
   const metrics = createMetrics();
   const graph = createCallGraph(service, steadyTime());
+  const bodies = createByteBudget(
+    Math.floor(settings.memoryBytes * BODIES_SHARE),
+  );
   const admission = createAdmission(steadyTime());
   const backend = createBackend({
     address: settings.serverAddress,
@@ -81,6 +90,7 @@
       const { services } = mesh.index();
       return services.size + (services.has(service) ? 0 : 1);
     },
+    budget: bodies,
     random,
     steadyTime,
     log,
@@ -202,6 +212,7 @@
     origin,
     protocol: adapter.clientProtocol,
     limits: () => routes?.table.limits ?? FIRST_LIMITS,
+    budget: bodies,
     steadyTime,
     log,
   });
