Bound what precedes a response on a server's connection

Callers of a faulty server waited until their deadline, while the daemon read responses that answer nothing, as fast as they came. A 1xx response that repeats the request id was handed on as the final answer.

Cause: responses with another request id were passed over without a count, interim ones weren't told from final ones, and an idle connection swallowed blank lines and the beginning of a head.

Interim responses are passed over now, as HTTP/1.1 asks; of these and of late responses eight may come before the response, and with it at most twice the bytes of the longest body. Bytes on an idle connection close it.

--- a/src/backend/open_server_connection.ts
+++ b/src/backend/open_server_connection.ts
@@ -11,6 +11,12 @@
 import type { ServerProtocol } from "./server_protocol.ts";
 
 const MAX_HEAD_BYTES = 64 * 1024;
+// Interim responses and responses to earlier requests that may precede the
+// response to a request.
+const MAX_SKIPPED_RESPONSES = 8;
+// Those and the response may take this many times the longest body.
+const MAX_WIRE_FACTOR = 2;
+const INTERIM = /^HTTP\/1\.1 1\d\d(?: |$)/;
 // Where a server doesn't say how long it keeps an idle connection open.
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 
@@ -24,6 +30,11 @@
   "no-room": "no-room",
 } as const satisfies Record<ReadFault, string>;
 
+const oversized: CallOutcome = {
+  kind: "unknown",
+  reason: "oversized-response",
+};
+
 type Exchange = {
   request: CallRequest;
   onOutcome: (outcome: CallOutcome) => void;
@@ -51,6 +62,9 @@
   let closed = false;
   // After a response to another request nothing tells whether more follow.
   let reusable = true;
+  // Since the last request.
+  let wireBytes = 0;
+  let skipped = 0;
   const limits = {
     headBytes: MAX_HEAD_BYTES,
     bodyBytes: Math.floor(budget.limit / 2),
@@ -58,7 +72,13 @@
   const socket = connectWithBuffer(
     { host, port, allowHalfOpen: true },
     (chunk) => {
-      if (!closed) reader.push(chunk);
+      if (closed) return;
+      wireBytes += chunk.length;
+      // Bytes that come while the connection is idle belong to no request.
+      if (exchange === null) close(lost());
+      else if (wireBytes > MAX_WIRE_FACTOR * limits.bodyBytes) {
+        close(oversized);
+      } else reader.push(chunk);
     },
   );
   socket.setNoDelay(true);
@@ -81,17 +101,25 @@
       ? { kind: "unknown", reason: "connection-lost" }
       : { kind: "not-run", reason: "connect-failed", arrived: false };
 
+  const skip = () => {
+    if (++skipped > MAX_SKIPPED_RESPONSES) close(oversized);
+  };
+
   const onMessage = (message: Message) => {
     if (exchange === null) {
       close(lost());
       return;
     }
+    if (INTERIM.test(message.startLine)) {
+      skip();
+      return;
+    }
     const response = protocol.readResponse(message, exchange.request);
     if (response.kind === "foreign") {
       reusable = false;
       if (!message.persistent) {
         close({ kind: "unknown", reason: "mismatched-response" });
-      }
+      } else skip();
       return;
     }
     const { outcome, keepAliveMs } = response;
@@ -106,6 +134,10 @@
     // are read before the connection takes the next one.
     queueMicrotask(() => {
       if (closed) return;
+      if (reader.partial() !== "none") {
+        close(lost());
+        return;
+      }
       connection.idleSince = steadyTime();
       onIdle(connection);
     });
@@ -122,6 +154,8 @@
     keepAliveMs: DEFAULT_KEEP_ALIVE_MS,
     send(request, now, onOutcome) {
       exchange = { request, onOutcome };
+      wireBytes = 0;
+      skipped = 0;
       const remainingMs = Math.max(0, Math.floor(request.expiresAt - now));
       const head = protocol.formatRequest(request, remainingMs);
       writeMessage(socket, head, request.body);
--- a/src/backend/server_connection_test.ts
+++ b/src/backend/server_connection_test.ts
@@ -5,18 +5,22 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallRequest } from "../calls/call_request.ts";
 import { createByteBudget } from "../core/create_byte_budget.ts";
+import { fieldOf } from "../http1/field_of.ts";
 import { openServerConnection } from "./open_server_connection.ts";
 import type { ServerProtocol } from "./server_protocol.ts";
 
 const protocol: ServerProtocol = {
   formatRequest: () => "GET / HTTP/1.1\r\n\r\n",
-  readResponse: ({ startLine, fields, body }) => ({
-    kind: "outcome",
-    outcome: startLine.startsWith("HTTP/1.1 ")
-      ? { kind: "answered", status: 200, fields, body }
-      : { kind: "unknown", reason: "malformed-response" },
-    keepAliveMs: null,
-  }),
+  readResponse({ startLine, fields, body }) {
+    if (fieldOf(fields, "late") !== undefined) return { kind: "foreign" };
+    return {
+      kind: "outcome",
+      outcome: startLine.startsWith("HTTP/1.1 ")
+        ? { kind: "answered", status: 200, fields, body }
+        : { kind: "unknown", reason: "malformed-response" },
+      keepAliveMs: null,
+    };
+  },
 };
 const BUDGET_BYTES = 1_000_000;
 const REQUEST: CallRequest = {
@@ -111,18 +115,106 @@
   });
 });
 
+test("interim responses are passed over", async (t) => {
+  const interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  const outcome = await outcomeOf((socket) =>
+    socket.end(`${interim}${interim}${UNFRAMED}`)
+  );
+  t.is(outcome.kind === "answered" && outcome.body.toString(), "part");
+});
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+const FILLER = "a".repeat(10_000);
+const ENDLESS: Record<string, { first: string; unit: string }> = {
+  "interim responses": { first: "", unit: "HTTP/1.1 102 Processing\r\n\r\n" },
+  "late responses": {
+    first: "",
+    unit: `${HEAD}Late: 1\r\nContent-Length: 0\r\n\r\n`,
+  },
+  "large late responses": {
+    first: "",
+    unit: `${HEAD}Late: 1\r\nContent-Length: 400000\r\n\r\n` +
+      FILLER.repeat(40),
+  },
+  "blank lines": { first: "", unit: "\r\n".repeat(100) },
+  "a head": { first: HEAD, unit: "X: y\r\n".repeat(100) },
+  "small chunks": {
+    first: `${HEAD}Transfer-Encoding: chunked\r\n\r\n`,
+    unit: "1\r\na\r\n".repeat(100),
+  },
+  "trailers": {
+    first: `${HEAD}Transfer-Encoding: chunked\r\n\r\n0\r\n`,
+    unit: "X: y\r\n".repeat(100),
+  },
+  "a body until the close": { first: `${HEAD}\r\n`, unit: FILLER },
+};
+// All that a response may take of the budget and of the connection, and what
+// the buffers of the connection hold besides.
+const MOST_BYTES = BUDGET_BYTES + 12_000_000;
+for (const [name, { first, unit }] of Object.entries(ENDLESS)) {
+  test(`${name} without end leave the outcome unknown`, async (t) => {
+    const budget = createByteBudget(BUDGET_BYTES);
+    let written = 0;
+    const outcome = await outcomeOf((socket) => {
+      socket.write(first);
+      const write = () => {
+        if (socket.destroyed) return;
+        written = socket.bytesWritten;
+        // A connection that goes on reading is ended, so that the test ends.
+        if (written > 4 * MOST_BYTES) socket.destroy();
+        else if (socket.write(unit)) setImmediate(write);
+        else socket.once("drain", write);
+      };
+      write();
+    }, budget);
+    t.is(outcome.kind, "unknown");
+    t.is("reason" in outcome && outcome.reason, "oversized-response");
+    t.true(written <= MOST_BYTES, `${written} bytes`);
+    t.is(budget.held(), 0);
+  });
+}
+
 test("a response that finds no room leaves the outcome unknown", async (t) => {
   const budget = createByteBudget(BUDGET_BYTES);
   budget.take(900_000);
   const outcome = await outcomeOf(
     (socket) =>
-      socket.end(
-        `HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n${
-          "a".repeat(200_000)
-        }`,
-      ),
+      socket.end(`${HEAD}Content-Length: 200000\r\n\r\n${FILLER.repeat(20)}`),
     budget,
   );
-  t.deepEqual(outcome, { kind: "unknown", reason: "no-room" });
+  t.is("reason" in outcome && outcome.reason, "no-room");
   t.is(budget.held(), 900_000);
 });
+
+test("bytes behind a response close the idle connection", async (t) => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write(`${HEAD}Content-Length: 0\r\n\r\n`);
+      setTimeout(() => socket.write("\r\n"), 100);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const events: string[] = [];
+  await new Promise<void>((resolve) => {
+    const connection = openServerConnection({
+      host: "127.0.0.1",
+      port,
+      protocol,
+      budget: createByteBudget(BUDGET_BYTES),
+      steadyTime: () => 0,
+      onIdle: () => events.push("idle"),
+      onClose: () => {
+        events.push("closed");
+        resolve();
+      },
+    });
+    connection.send(REQUEST, 0, ({ kind }) => events.push(kind));
+    // Ends the test where the connection stays open.
+    setTimeout(resolve, 1_000);
+  });
+  t.deepEqual(events, ["answered", "idle", "closed"]);
+  server.close();
+});
