Bound what is held for clients, and what is read behind a refusal

Whole requests weren't counted while they ran, nor replies that their clients don't read; a body could take any time; and what a client sends behind its last request was read as fast as it came until the connection closed.

The body of a request and then that of its reply are held in the daemon's account until the reply is sent. A request that doesn't fit hasn't run: it is refused with 503 and Retry-After, and the connection goes on. Pausing the connection until there is room was the other choice; many half-read requests would then wait for each other's room. A reply that doesn't fit becomes 502, as the request has run (reply-dropped in the log). A body that takes over a minute ends with 408. Behind a refusal, the rest of a request of the longest size is read and discarded, so that a proper client gets its reply; then reading stops.

--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -9,7 +9,7 @@
 import { createClientConnections } from "./create_client_connections.ts";
 
 const protocol: ClientProtocol = {
-  readRequest: ({ startLine }) =>
+  readRequest: ({ startLine, body }) =>
     startLine.startsWith("GET ")
       ? {
         id: startLine,
@@ -17,13 +17,13 @@
         method: "GET",
         target: startLine.split(" ")[1]!,
         fields: [],
-        body: Buffer.alloc(0),
+        body,
         deadlineMs: null,
       }
       : null,
   formatReply: (reply, { target }, close) => ({
     head: `${target} ${reply.kind}${close ? " close" : ""}\n`,
-    body: Buffer.alloc(0),
+    body: "body" in reply ? reply.body : Buffer.alloc(0),
   }),
   formatFault: (fault) => `${fault} close\n`,
 };
@@ -40,13 +40,13 @@
   cancelled: boolean;
 };
 
-async function open() {
+async function open(budget = createByteBudget(10_000)) {
   const started: Started[] = [];
   let now = 0;
   const connections = createClientConnections({
     protocol,
     limits: () => LIMITS,
-    budget: createByteBudget(1_000_000),
+    budget,
     steadyTime: () => now,
     log: () => {},
     origin: {
@@ -87,6 +87,10 @@
 }
 
 const request = (path: string) => `GET ${path} HTTP/1.1\r\nHost: h\r\n\r\n`;
+const withBody = (path: string, bytes: number) =>
+  `GET ${path} HTTP/1.1\r\nHost: h\r\nContent-Length: ${bytes}\r\n\r\n${
+    "a".repeat(bytes)
+  }`;
 const settled = () => new Promise((resolve) => setTimeout(resolve, 50));
 const answer: Reply = {
   kind: "answer",
@@ -164,3 +168,151 @@
   t.is(text(), "/a answer\nmalformed close\n");
   server.close();
 });
+
+const CHUNKED = "GET /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const ENDLESS: Record<string, { first: string; unit: string; fault: string }> =
+  {
+    "blank lines": { first: "", unit: "\r\n", fault: "head-too-large" },
+    "small chunks": {
+      first: CHUNKED,
+      unit: `1;${"x".repeat(200)}\r\na\r\n`,
+      fault: "framing-too-large",
+    },
+    "trailers": {
+      first: `${CHUNKED}0\r\n`,
+      unit: "X: y\r\n",
+      fault: "head-too-large",
+    },
+  };
+// What the buffers of a connection hold.
+const UNREAD_BYTES = 12_000_000;
+for (const [name, { first, unit, fault }] of Object.entries(ENDLESS)) {
+  test(`${name} without end are refused and not read on`, async (t) => {
+    const budget = createByteBudget(10_000);
+    const { client, started, server, text } = await open(budget);
+    const chunk = unit.repeat(1_000);
+    client.write(first);
+    const write = () => {
+      if (client.destroyed || client.bytesWritten > 4 * UNREAD_BYTES) return;
+      if (client.write(chunk)) setImmediate(write);
+      else client.once("drain", write);
+    };
+    write();
+    await once(client, "end");
+    t.is(text(), `${fault} close\n`);
+    t.deepEqual(started, []);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    t.true(client.bytesWritten < UNREAD_BYTES, `${client.bytesWritten} bytes`);
+    t.is(budget.held(), 0);
+    client.destroy();
+    server.close();
+  });
+}
+
+test("bytes behind the last request aren't read without end", async (t) => {
+  const { client, started, server } = await open();
+  client.write("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const chunk = "a".repeat(10_000);
+  const write = () => {
+    if (client.destroyed || client.bytesWritten > 4 * UNREAD_BYTES) return;
+    if (client.write(chunk)) setImmediate(write);
+    else client.once("drain", write);
+  };
+  write();
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  t.is(started.length, 1);
+  t.true(client.bytesWritten < UNREAD_BYTES, `${client.bytesWritten} bytes`);
+  client.destroy();
+  server.close();
+});
+
+test("a whole request that finds no room is refused, the next is served", async (t) => {
+  const budget = createByteBudget(1_200);
+  const { client, started, server, text } = await open(budget);
+  client.write(withBody("/a", 600));
+  await settled();
+  client.write(withBody("/b", 590) + request("/c"));
+  await settled();
+  t.deepEqual(started.map(({ request }) => request.target), ["/a", "/c"]);
+  started[1]!.reply(answer);
+  started[0]!.reply(answer);
+  await settled();
+  t.is(text(), "/a answer\n/b refusal\n/c answer\n");
+  t.is(budget.held(), 0);
+  client.destroy();
+  server.close();
+});
+
+test("an unfinished request that finds no room is refused", async (t) => {
+  const budget = createByteBudget(1_000);
+  budget.take(900);
+  const { client, started, server, text } = await open(budget);
+  client.write(withBody("/a", 400).slice(0, -1));
+  await once(client, "end");
+  t.is(text(), "no-room close\n");
+  t.deepEqual(started, []);
+  t.is(budget.held(), 900);
+  client.destroy();
+  server.close();
+});
+
+test("replies are held until they are sent, one without room fails", async (t) => {
+  // More than the buffers of a connection take.
+  const bytes = 30_000_000;
+  const budget = createByteBudget(2 * bytes);
+  const { client, started, server, text } = await open(budget);
+  client.pause();
+  client.write(request("/a") + request("/b"));
+  await settled();
+  for (const { reply } of started) {
+    reply({ ...answer, body: Buffer.alloc(bytes, "a") });
+  }
+  await settled();
+  t.is(budget.held(), bytes);
+  client.resume();
+  while (!text().endsWith("/b failure\n")) await settled();
+  t.is(text().length, "/a answer\n".length + bytes + "/b failure\n".length);
+  t.is(budget.held(), 0);
+  client.destroy();
+  server.close();
+});
+
+test("a client that leaves gives back what was held for it", async (t) => {
+  const bytes = 30_000_000;
+  const budget = createByteBudget(3 * bytes);
+  const { client, started, server } = await open(budget);
+  client.pause();
+  client.write(request("/a") + withBody("/b", 900) + withBody("/c", 800));
+  client.write(withBody("/d", 500).slice(0, -1));
+  await settled();
+  started[0]!.reply({ ...answer, body: Buffer.alloc(bytes) });
+  await settled();
+  t.is(budget.held(), bytes + 900 + 800 + 499);
+  client.resetAndDestroy();
+  await settled();
+  t.is(budget.held(), 0);
+  server.close();
+});
+
+test("a slow body is given up", async (t) => {
+  const { client, connections, started, server, text, pass } = await open();
+  client.write(withBody("/a", 100).slice(0, -1));
+  await settled();
+  // Bodies of their own don't add up.
+  for (let i = 0; i < 3; i++) {
+    connections.sweep();
+    pass(59_000);
+    client.write(`a${withBody("/a", 100).slice(0, -1)}`);
+    await settled();
+    connections.sweep();
+  }
+  t.is(started.length, 3);
+  for (const { reply } of started) reply(answer);
+  pass(60_001);
+  connections.sweep();
+  await once(client, "end");
+  t.true(text().endsWith("body-timeout close\n"));
+  t.is(started.length, 3);
+  client.destroy();
+  server.close();
+});
--- a/src/edge/client_protocol.ts
+++ b/src/edge/client_protocol.ts
@@ -1,7 +1,7 @@
 import type { Message } from "../http1/message.ts";
-import type { ReadFault } from "../http1/read_fault.ts";
 import type { OriginRequest } from "../origin/origin_request.ts";
 import type { Reply } from "../origin/reply.ts";
+import type { ConnectionFault } from "./connection_fault.ts";
 
 /** How requests of clients and the replies to them are spelled. */
 export type ClientProtocol = {
@@ -14,5 +14,5 @@
     close: boolean,
   ): { head: string; body: Buffer };
   /** Writes the whole answer to bytes that aren't a proper request. */
-  formatFault(fault: ReadFault | "head-timeout"): string;
+  formatFault(fault: ConnectionFault): string;
 };
--- a/src/edge/create_client_connections.ts
+++ b/src/edge/create_client_connections.ts
@@ -1,9 +1,10 @@
 import type { Socket } from "node:net";
 import type { ByteBudget } from "../core/byte_budget.ts";
+import type { ByteHold } from "../core/byte_hold.ts";
+import { createByteHold } from "../core/create_byte_hold.ts";
 import type { Logger } from "../core/logger.ts";
 import { createMessageReader } from "../http1/create_message_reader.ts";
 import type { MessageLimits } from "../http1/message_limits.ts";
-import type { ReadFault } from "../http1/read_fault.ts";
 import { requestFraming } from "../http1/request_framing.ts";
 import { writeMessage } from "../http1/write_message.ts";
 import type { Origin } from "../origin/origin.ts";
@@ -11,11 +12,16 @@
 import type { Reply } from "../origin/reply.ts";
 import type { ClientConnections } from "./client_connections.ts";
 import type { ClientProtocol } from "./client_protocol.ts";
+import type { ConnectionFault } from "./connection_fault.ts";
 
 // Requests of one connection that run at once; the client's next bytes wait.
 const MOST_PIPELINED = 32;
 // A closed connection is dropped after this time.
 const LINGER_MS = 2_000;
+// A body that takes longer outlives the deadlines of its clients.
+const BODY_TIMEOUT_MS = 60_000;
+// Time after which clients that found no room return.
+const NO_ROOM_RETRY_MS = 500;
 const CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
 
 type Limits = MessageLimits & { headTimeoutMs: number; idleTimeoutMs: number };
@@ -26,6 +32,8 @@
   reply: { head: string; body: Buffer } | Reply | null;
   /** Nothing is read behind this request. */
   last: boolean;
+  /** Holds the body of the request and then that of the reply. */
+  hold: ByteHold;
   cancel: () => void;
 };
 
@@ -33,8 +41,8 @@
   slots: Slot[];
   /** Steady time of the last byte read or reply written, in ms. */
   activeAt: number;
-  /** Steady time of the first byte of an unfinished head, in ms. */
-  headSince: number | null;
+  /** The unfinished part of a request, and since when it is unfinished. */
+  unfinished: { part: "head" | "body"; since: number } | null;
   sweep(now: number): void;
   closeIfIdle(): void;
 };
@@ -45,20 +53,24 @@
     origin: Origin;
     protocol: ClientProtocol;
     limits: () => Limits;
-    /** Holds what was read of unfinished requests. */
+    /** Holds what was read of clients, and replies that they haven't read. */
     budget: ByteBudget;
     steadyTime: () => number;
     log: Logger;
   },
 ): ClientConnections {
   const clients = new Set<Client>();
+  const readLimits = () => {
+    const { headBytes, bodyBytes } = limits();
+    return { headBytes, bodyBytes: Math.min(bodyBytes, budget.limit / 2) };
+  };
   let draining = false;
 
   function accept(socket: Socket): void {
     const client: Client = {
       slots: [],
       activeAt: steadyTime(),
-      headSince: null,
+      unfinished: null,
       sweep,
       closeIfIdle() {
         if (client.slots.length === 0 && reader.partial() === "none") hangUp();
@@ -68,6 +80,9 @@
     socket.setNoDelay(true);
     let gone = false;
     let reading = true;
+    let discardedBytes = 0;
+    // Written, and not yet taken by the connection.
+    const unsent = new Set<ByteHold>();
 
     /**
      * Reads nothing more, so that a request which crosses the close isn't
@@ -90,13 +105,27 @@
         const { head, body } = "head" in slot.reply
           ? slot.reply
           : protocol.formatReply(slot.reply, slot.request!, close);
-        writeMessage(socket, head, body);
+        unsent.add(slot.hold);
+        writeMessage(socket, head, body, () => {
+          unsent.delete(slot.hold);
+          slot.hold.resize(0);
+        });
         client.activeAt = steadyTime();
         if (close) hangUp();
         else if (client.slots.length === MOST_PIPELINED - 1) socket.resume();
       }
     };
-    const reject = (fault: ReadFault | "head-timeout") => {
+    const settle = (slot: Slot, reply: Reply) => {
+      const bytes = "body" in reply ? reply.body.length : 0;
+      if (slot.hold.resize(bytes)) slot.reply = reply;
+      else {
+        slot.hold.resize(0);
+        log("reply-dropped", { id: slot.request?.id, reason: "no-room" });
+        slot.reply = { kind: "failure", reason: "no-room", expired: false };
+      }
+      flush();
+    };
+    const reject = (fault: ConnectionFault) => {
       log("connection-rejected", { fault, peer: socket.remoteAddress });
       reading = false;
       reader.close();
@@ -105,13 +134,14 @@
         request: null,
         reply: { head, body: Buffer.alloc(0) },
         last: true,
+        hold: createByteHold(budget),
         cancel: ignore,
       });
       flush();
     };
     const reader = createMessageReader({
       framing: requestFraming,
-      limits,
+      limits: readLimits,
       budget,
       onFault: reject,
       onContinue() {
@@ -119,6 +149,7 @@
       },
       onMessage(message) {
         if (!reading) return;
+        client.unfinished = null;
         const request = protocol.readRequest(message);
         if (request === null) {
           reject("malformed");
@@ -128,25 +159,38 @@
           request,
           reply: null,
           last: !message.persistent,
+          hold: createByteHold(budget),
           cancel: ignore,
         };
         client.slots.push(slot);
         reading = message.persistent;
         if (client.slots.length >= MOST_PIPELINED) socket.pause();
-        slot.cancel = origin.start(request, (reply) => {
-          slot.reply = reply;
-          flush();
-        });
+        if (!slot.hold.resize(request.body.length)) {
+          log("request-refused", { id: request.id, reason: "no-room" });
+          settle(slot, {
+            kind: "refusal",
+            reason: "no-room",
+            retryAfterMs: NO_ROOM_RETRY_MS,
+          });
+          return;
+        }
+        slot.cancel = origin.start(request, (reply) => settle(slot, reply));
       },
     });
     function sweep(now: number) {
       const { headTimeoutMs, idleTimeoutMs } = limits();
       const partial = reader.partial();
-      if (partial !== "head") client.headSince = null;
-      else client.headSince ??= now;
-      if (client.headSince !== null && now - client.headSince > headTimeoutMs) {
-        client.headSince = null;
-        reject("head-timeout");
+      if (!reading || partial === "none") client.unfinished = null;
+      else if (client.unfinished?.part !== partial) {
+        client.unfinished = { part: partial, since: now };
+      }
+      const timeoutMs = { head: headTimeoutMs, body: BODY_TIMEOUT_MS };
+      const { unfinished } = client;
+      if (
+        unfinished !== null &&
+        now - unfinished.since > timeoutMs[unfinished.part]
+      ) {
+        reject(`${unfinished.part}-timeout`);
       } else if (
         client.slots.length === 0 && now - client.activeAt > idleTimeoutMs
       ) {
@@ -159,16 +203,28 @@
       gone = true;
       clients.delete(client);
       reader.close();
-      for (const { reply, cancel } of client.slots.splice(0)) {
+      for (const { reply, hold, cancel } of client.slots.splice(0)) {
+        hold.resize(0);
         if (reply === null) cancel();
       }
     };
     socket.on("data", (chunk: Buffer) => {
       client.activeAt = steadyTime();
-      if (reading) reader.push(chunk);
+      if (reading) {
+        reader.push(chunk);
+        return;
+      }
+      discardedBytes += chunk.length;
+      // The rest of a request that was refused is all that a client may send.
+      const { headBytes, bodyBytes } = limits();
+      if (discardedBytes > headBytes + bodyBytes) socket.pause();
     });
     socket.on("end", leave);
-    socket.on("close", leave);
+    socket.on("close", () => {
+      leave();
+      for (const hold of unsent) hold.resize(0);
+      unsent.clear();
+    });
     // The close that follows an error ends the client's requests.
     socket.on("error", ({ message }) => {
       log("client-connection-failed", { message });
