Test responses without end on the whole path

The stand-in backend server can send eight kinds of responses without end, for the requests whose path holds a text. 40 such requests at once, from the daemon beside the server and from another one, with the runtime's flags of deploy/system.toml: both daemons stay alive within 250 MB, requests of the same and of another service are served, each caller is told 502, or 503 where nothing has run, and no response takes more than an eighth of the memory on the wire.

Blocks of 64 KiB of a body are used again, and what frames chunks may be 16 KiB besides an eighth of the body: garbage outside the heap is collected late.

Small chunks ended a daemon with the heap out of memory; beside late responses and trailers the other requests got one answer at most; blank lines and a body until the close went on to the deadline (504); large chunks took 73 MB for one response. A head without end and interim responses passed before.

--- a/src/http1/create_body_buffer.ts
+++ b/src/http1/create_body_buffer.ts
@@ -3,6 +3,10 @@
 const EMPTY = Buffer.alloc(0);
 const MIN_BLOCK_BYTES = 1_024;
 const MAX_BLOCK_BYTES = 64 * 1024;
+// Blocks that wait for the next body, for all buffers together. Memory outside
+// the heap is collected late, so blocks are used again rather than dropped.
+const MAX_SPARE_BLOCKS = 256;
+const spareBlocks: Buffer[] = [];
 
 /**
  * Creates an empty buffer. Parts are copied into blocks, so that the memory
@@ -14,6 +18,10 @@
   // Bytes used of the last block.
   let used = 0;
   const clear = () => {
+    for (const block of blocks) {
+      if (spareBlocks.length === MAX_SPARE_BLOCKS) break;
+      if (block.length === MAX_BLOCK_BYTES) spareBlocks.push(block);
+    }
     blocks = [];
     bytes = 0;
     used = 0;
@@ -21,29 +29,36 @@
   return {
     bytes: () => bytes,
     clear,
-    add(part) {
-      for (let at = 0; at < part.length;) {
+    add(source, start, end) {
+      for (let at = start; at < end;) {
         let block = blocks.at(-1);
         if (block === undefined || used === block.length) {
-          const wanted = Math.max(MIN_BLOCK_BYTES, part.length - at, bytes);
-          block = Buffer.allocUnsafe(Math.min(MAX_BLOCK_BYTES, wanted));
+          block = openBlock(Math.max(end - at, bytes));
           blocks.push(block);
           used = 0;
         }
-        const copied = part.copy(block, used, at);
+        const copied = source.copy(block, used, at, end);
         at += copied;
         used += copied;
         bytes += copied;
       }
     },
     take() {
-      const body = blocks.length === 0
-        ? EMPTY
-        : blocks.length === 1
-        ? blocks[0]!.subarray(0, bytes)
+      const [first = EMPTY] = blocks;
+      // Only a block that isn't used again can be handed out.
+      const body = blocks.length < 2 && first.length < MAX_BLOCK_BYTES
+        ? first.subarray(0, bytes)
         : Buffer.concat(blocks, bytes);
       clear();
       return body;
     },
   };
 }
+
+/** Returns a block for `bytes`, as far as a block takes them. */
+function openBlock(bytes: number): Buffer {
+  if (bytes < MAX_BLOCK_BYTES) {
+    return Buffer.allocUnsafe(Math.max(MIN_BLOCK_BYTES, bytes));
+  }
+  return spareBlocks.pop() ?? Buffer.allocUnsafe(MAX_BLOCK_BYTES);
+}
--- a/src/http1/create_message_reader.ts
+++ b/src/http1/create_message_reader.ts
@@ -17,7 +17,7 @@
 // Each chunk costs time, however small it is. What frames the chunks of a body
 // may be this share of it, and this much besides.
 const MAX_FRAMING_SHARE = 1 / 8;
-const MAX_FRAMING_BYTES = 64 * 1024;
+const MAX_FRAMING_BYTES = 16 * 1024;
 const VERSION_1_0 = / HTTP\/1\.0$|^HTTP\/1\.0 /;
 const CLOSE = /(?:^|,)[ \t]*close[ \t]*(?:,|$)/i;
 const KEEP_ALIVE = /(?:^|,)[ \t]*keep-alive[ \t]*(?:,|$)/i;
@@ -110,7 +110,7 @@
   /** Moves what there is of the `remaining` bytes into the body. */
   const collect = () => {
     const bytes = Math.min(remaining, unread());
-    body.add(buffer.subarray(at, at + bytes));
+    body.add(buffer, at, at + bytes);
     at += bytes;
     remaining -= bytes;
   };
--- a/test/with_site.ts
+++ b/test/with_site.ts
@@ -3,15 +3,18 @@
 import { serves } from "./serves.ts";
 import { until } from "./until.ts";
 
-type Vms = Parameters<typeof startSite>[0]["vms"];
+type Options = Pick<
+  Parameters<typeof startSite>[0],
+  "net" | "vms" | "nodeArguments"
+>;
 
 /** Runs a site until all its VMs serve all services, then `run`. */
 export async function withSite(
-  { net, vms }: { net: number; vms: Vms },
+  options: Options,
   run: (site: Site) => Promise<void>,
 ): Promise<void> {
-  const services = [...new Set(vms.map(({ service }) => service))];
-  const site = await startSite({ net, vms });
+  const services = [...new Set(options.vms.map(({ service }) => service))];
+  const site = await startSite(options);
   try {
     site.configure(1);
     await until("all serve", async () => {
