--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -24,9 +24,9 @@
   meshAddress: Address,
   storeAddress: Address,
   heartbeatMs: z.number().positive(),
-  /** Time between SIGTERM and SIGKILL, in ms. */
   /** Memory above which the process is killed. */
   memoryBytes: z.number().positive(),
+  /** Time between SIGTERM and SIGKILL, in ms. */
   gracePeriodMs: z.number().positive(),
   retries: z.object({
     /** Repeats that each request of a service allows the whole fleet. */
