--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -2,6 +2,7 @@
 import type { CallReport } from "../calls/call_report.ts";
 import type { CallRequest } from "../calls/call_request.ts";
 import { outlasts } from "../calls/outlasts.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import { moveMean } from "../core/move_mean.ts";
 import type { Random } from "../core/random.ts";
@@ -63,6 +64,7 @@
     protocol,
     graph,
     services,
+    budget,
     random,
     steadyTime,
     log,
@@ -75,6 +77,8 @@
     graph: CallGraph;
     /** How many services the fleet runs. */
     services: () => number;
+    /** Holds what was read of unfinished responses. */
+    budget: ByteBudget;
     random: Random;
     steadyTime: () => number;
     log: Logger;
@@ -91,7 +95,7 @@
   let runsEndAt = Infinity;
   const gate = createGate(1);
   const runs = new Set<Run>();
-  const pool = createConnectionPool({ address, protocol, steadyTime });
+  const pool = createConnectionPool({ address, protocol, budget, steadyTime });
 
   const alive = (now: number) =>
     registration !== null &&
--- a/src/backend/open_server_connection.ts
+++ b/src/backend/open_server_connection.ts
@@ -1,19 +1,40 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import { connectWithBuffer } from "../core/connect_with_buffer.ts";
 import { createMessageReader } from "../http1/create_message_reader.ts";
 import type { Message } from "../http1/message.ts";
+import type { ReadFault } from "../http1/read_fault.ts";
 import { responseFraming } from "../http1/response_framing.ts";
 import { writeMessage } from "../http1/write_message.ts";
 import type { ServerConnection } from "./server_connection.ts";
 import type { ServerProtocol } from "./server_protocol.ts";
 
-const LIMITS = { headBytes: 64 * 1024, bodyBytes: 64 * 1024 * 1024 };
+const MAX_HEAD_BYTES = 64 * 1024;
+// Interim responses and responses to earlier requests that may precede the
+// response to a request.
+const MAX_SKIPPED_RESPONSES = 8;
+// Those and the response may take this many times the longest body.
+const MAX_WIRE_FACTOR = 2;
+const INTERIM = /^HTTP\/1\.1 1\d\d(?: |$)/;
 // Where a server doesn't say how long it keeps an idle connection open.
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
 
 const NOTHING = Buffer.alloc(0);
 
+const FAULT_REASON = {
+  malformed: "malformed-response",
+  "head-too-large": "oversized-response",
+  "body-too-large": "oversized-response",
+  "framing-too-large": "oversized-response",
+  "no-room": "no-room",
+} as const satisfies Record<ReadFault, string>;
+
+const oversized: CallOutcome = {
+  kind: "unknown",
+  reason: "oversized-response",
+};
+
 type Exchange = {
   request: CallRequest;
   onOutcome: (outcome: CallOutcome) => void;
@@ -25,10 +46,12 @@
  * before that.
  */
 export function openServerConnection(
-  { host, port, protocol, steadyTime, onIdle, onClose }: {
+  { host, port, protocol, budget, steadyTime, onIdle, onClose }: {
     host: string;
     port: number;
     protocol: ServerProtocol;
+    /** Holds what was read of unfinished responses. */
+    budget: ByteBudget;
     steadyTime: () => number;
     onIdle: (connection: ServerConnection) => void;
     onClose: (connection: ServerConnection) => void;
@@ -39,10 +62,23 @@
   let closed = false;
   // After a response to another request nothing tells whether more follow.
   let reusable = true;
+  // Since the last request.
+  let wireBytes = 0;
+  let skipped = 0;
+  const limits = {
+    headBytes: MAX_HEAD_BYTES,
+    bodyBytes: Math.floor(budget.limit / 2),
+  };
   const socket = connectWithBuffer(
     { host, port, allowHalfOpen: true },
     (chunk) => {
-      if (!closed) reader.push(chunk);
+      if (closed) return;
+      wireBytes += chunk.length;
+      // Bytes that come while the connection is idle belong to no request.
+      if (exchange === null) close(lost());
+      else if (wireBytes > MAX_WIRE_FACTOR * limits.bodyBytes) {
+        close(oversized);
+      } else reader.push(chunk);
     },
   );
   socket.setNoDelay(true);
@@ -56,6 +92,7 @@
     if (closed) return;
     closed = true;
     socket.destroy();
+    reader.close();
     settle(outcome);
     onClose(connection);
   };
@@ -64,17 +101,25 @@
       ? { kind: "unknown", reason: "connection-lost" }
       : { kind: "not-run", reason: "connect-failed", arrived: false };
 
+  const skip = () => {
+    if (++skipped > MAX_SKIPPED_RESPONSES) close(oversized);
+  };
+
   const onMessage = (message: Message) => {
     if (exchange === null) {
       close(lost());
       return;
     }
+    if (INTERIM.test(message.startLine)) {
+      skip();
+      return;
+    }
     const response = protocol.readResponse(message, exchange.request);
     if (response.kind === "foreign") {
       reusable = false;
       if (!message.persistent) {
         close({ kind: "unknown", reason: "mismatched-response" });
-      }
+      } else skip();
       return;
     }
     const { outcome, keepAliveMs } = response;
@@ -89,21 +134,28 @@
     // are read before the connection takes the next one.
     queueMicrotask(() => {
       if (closed) return;
+      if (reader.partial() !== "none") {
+        close(lost());
+        return;
+      }
       connection.idleSince = steadyTime();
       onIdle(connection);
     });
   };
   const reader = createMessageReader({
     framing: responseFraming,
-    limits: () => LIMITS,
+    limits: () => limits,
+    budget,
     onMessage,
-    onFault: () => close({ kind: "unknown", reason: "malformed-response" }),
+    onFault: (fault) => close({ kind: "unknown", reason: FAULT_REASON[fault] }),
   });
   const connection: ServerConnection = {
     idleSince: steadyTime(),
     keepAliveMs: DEFAULT_KEEP_ALIVE_MS,
     send(request, now, onOutcome) {
       exchange = { request, onOutcome };
+      wireBytes = 0;
+      skipped = 0;
       const remainingMs = Math.max(0, Math.floor(request.expiresAt - now));
       const head = protocol.formatRequest(request, remainingMs);
       writeMessage(socket, head, request.body);
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -24,6 +24,8 @@
   meshAddress: Address,
   storeAddress: Address,
   heartbeatMs: z.number().positive(),
+  /** Memory above which the process is killed. */
+  memoryBytes: z.number().positive(),
   /** Time between SIGTERM and SIGKILL, in ms. */
   gracePeriodMs: z.number().positive(),
   retries: z.object({
