Keep a stopping daemon's server in use until its clients have their answers

Callers saw much refused in rolling restarts. A stopping daemon took its server out of use after 2 s, then waited a second or two for the answers to its own clients, which come from other servers, before it restarted: the server stood idle for that time, besides that of the restart.

The server now leaves once the own clients have their answers, from 2.5 s on and 1.55 s before the end of the grace period at the latest.

--- a/src/sidecar/is_leave_due.ts
+++ b/src/sidecar/is_leave_due.ts
@@ -6,15 +6,20 @@
 
 /**
  * Whether a stopping daemon takes its server out of use at a steady time in ms.
- * The last server of a service stays as long as the daemon can.
+ * The last server of a service stays as long as the daemon can; others stay
+ * until the own clients have their answers, which holds up the restart anyway.
  */
 export function isLeaveDue(
-  { leaveAt, leaveLatestAt }: Pick<StopPlan, "leaveAt" | "leaveLatestAt">,
+  { refuseAt, leaveLatestAt }: Pick<StopPlan, "refuseAt" | "leaveLatestAt">,
   now: number,
-  /** Since when another server of the service is in use; null if none is. */
-  othersSince: number | null,
+  { clients, othersSince }: {
+    /** Requests of clients without an answer. */
+    clients: number;
+    /** Since when another server of the service is in use; null if none is. */
+    othersSince: number | null;
+  },
 ): boolean {
   if (now >= leaveLatestAt) return true;
-  return now >= leaveAt && othersSince !== null &&
+  return now >= refuseAt && clients === 0 && othersSince !== null &&
     now - othersSince >= FOUND_MS;
 }
--- a/src/sidecar/plan_stop.ts
+++ b/src/sidecar/plan_stop.ts
@@ -3,9 +3,6 @@
 // Clients learn within two readiness checks, two seconds, that this daemon is
 // leaving; until then they still open connections.
 const CLIENTS_LEAVE_MS = 2_500;
-// Other daemons learn it at once; what was under way to here arrives within
-// this time.
-const PEERS_LEAVE_MS = 500;
 // Time for runs to end after the last server of a service has left.
 const LAST_RUNS_MS = 1_000;
 // Kept for closing before the process is killed.
@@ -22,12 +19,10 @@
   const refuseMs = Math.min(CLIENTS_LEAVE_MS, SERVING_SHARE * gracePeriodMs);
   const endMs = gracePeriodMs -
     Math.min(CLOSE_MS, CLOSING_SHARE * gracePeriodMs);
-  const leaveMs = Math.max(0, refuseMs - PEERS_LEAVE_MS);
   const runsEndMs = endMs - ANSWER_MS;
   return {
-    leaveAt: startedAt + leaveMs,
     refuseAt: startedAt + refuseMs,
-    leaveLatestAt: startedAt + Math.max(leaveMs, runsEndMs - LAST_RUNS_MS),
+    leaveLatestAt: startedAt + Math.max(refuseMs, runsEndMs - LAST_RUNS_MS),
     runsEndAt: startedAt + runsEndMs,
     endAt: startedAt + endMs,
   };
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -73,7 +73,10 @@
       report("stop-waiting");
     }
     othersSince = othersServe() ? othersSince ?? now : null;
-    if (leftAt === Infinity && isLeaveDue(plan, now, othersSince)) {
+    if (
+      leftAt === Infinity &&
+      isLeaveDue(plan, now, { clients: origin.open().clients, othersSince })
+    ) {
       leftAt = now;
       leave();
     }
--- a/src/sidecar/stop_plan.ts
+++ b/src/sidecar/stop_plan.ts
@@ -1,8 +1,6 @@
 /** Steady times of a planned stop, in ms. */
 export type StopPlan = {
-  /** The own server leaves if others of its service are in use. */
-  leaveAt: number;
-  /** Clients are turned away. */
+  /** Clients are turned away; the own server may leave. */
   refuseAt: number;
   /** The own server leaves in any case. */
   leaveLatestAt: number;
