Let slow readers have their replies before the daemon or the connection ends

Found by the review of the stop: a reply counted as finished once it was handed to the runtime. Apart from stops, a connection that was to close was dropped 2 s later, however much was unsent.

A stop now waits for replies that clients haven't taken whole, until its end. A closed connection is dropped 2 s after all was sent, or after 30 s if the client doesn't read.

Test: 'a slow reader's reply is cut off where the connection closes' fails before.

--- a/src/edge/client_connections.ts
+++ b/src/edge/client_connections.ts
@@ -11,4 +11,6 @@
   closeIdle(): void;
   /** How many are open. */
   size(): number;
+  /** How many replies their connections haven't taken whole. */
+  unsent(): number;
 };
--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -277,6 +277,27 @@
   server.close();
 });
 
+// The linger of a closed connection began before the reply was sent.
+test("a slow reader's reply is cut off where the connection closes", async (t) => {
+  const bytes = 30_000_000;
+  const opened = await open(createByteBudget(2 * bytes));
+  const { client, connections, started, server, text } = opened;
+  client.pause();
+  client.write(request("/a"));
+  await settled();
+  connections.drain();
+  started[0]!.reply({ ...answer, body: Buffer.alloc(bytes, "a") });
+  await settled();
+  t.is(connections.unsent(), 1);
+  await new Promise((resolve) => setTimeout(resolve, 2_500));
+  const ended = once(client, "end");
+  client.resume();
+  await ended;
+  t.is(text().length, "/a answer close\n".length + bytes);
+  t.is(connections.unsent(), 0);
+  server.close();
+});
+
 test("a client that leaves gives back what was held for it", async (t) => {
   const bytes = 30_000_000;
   const budget = createByteBudget(3 * bytes);
--- a/src/edge/create_client_connections.ts
+++ b/src/edge/create_client_connections.ts
@@ -16,8 +16,10 @@
 
 // Requests of one connection that run at once; the client's next bytes wait.
 const MOST_PIPELINED = 32;
-// A closed connection is dropped after this time.
+// A closed connection is dropped this long after all was sent.
 const LINGER_MS = 2_000;
+// A client that doesn't read its last reply is given up after this time.
+const UNREAD_MS = 30_000;
 // A body that takes longer outlives the deadlines of its clients.
 const BODY_TIMEOUT_MS = 60_000;
 // Time after which clients that found no room return.
@@ -60,11 +62,8 @@
   },
 ): ClientConnections {
   const clients = new Set<Client>();
-  const readLimits = () => {
-    const { headBytes, bodyBytes } = limits();
-    return { headBytes, bodyBytes: Math.min(bodyBytes, budget.limit / 2) };
-  };
   let draining = false;
+  let unsentReplies = 0;
 
   function accept(socket: Socket): void {
     const client: Client = {
@@ -91,8 +90,12 @@
     const hangUp = () => {
       reading = false;
       reader.close();
-      socket.end();
-      setTimeout(() => socket.destroy(), LINGER_MS).unref();
+      const close = () => socket.destroy();
+      const unread = setTimeout(close, UNREAD_MS).unref();
+      socket.end(() => {
+        clearTimeout(unread);
+        setTimeout(close, LINGER_MS).unref();
+      });
     };
     const flush = () => {
       while (!gone && client.slots.length > 0) {
@@ -106,7 +109,9 @@
           ? slot.reply
           : protocol.formatReply(slot.reply, slot.request!, close);
         unsent.add(slot.hold);
+        unsentReplies++;
         writeMessage(socket, head, body, () => {
+          unsentReplies--;
           unsent.delete(slot.hold);
           slot.hold.resize(0);
         });
@@ -141,7 +146,7 @@
     };
     const reader = createMessageReader({
       framing: requestFraming,
-      limits: readLimits,
+      limits,
       budget,
       onFault: reject,
       onContinue() {
@@ -244,6 +249,7 @@
       for (const client of clients) client.closeIfIdle();
     },
     size: () => clients.size,
+    unsent: () => unsentReplies,
   };
 }
 
--- a/src/sidecar/log_open_work.ts
+++ b/src/sidecar/log_open_work.ts
@@ -6,11 +6,13 @@
 export function logOpenWork(
   log: Logger,
   event: "stopping" | "stop-waiting" | "stopped",
-  { elapsedMs, open, work }: {
+  { elapsedMs, open, work, unsent }: {
     /** Time since the stop began, in ms. */
     elapsedMs: number;
     open: OpenWork;
     work: Work;
+    /** Replies that clients haven't taken whole. */
+    unsent: number;
   },
 ): void {
   const { clients, nested, oldest } = open;
@@ -20,6 +22,7 @@
     nested,
     running: work.running,
     waiting: work.waiting,
+    unsent,
     oldest: oldest?.id,
     route: oldest?.route,
     server: oldest?.server,
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -49,11 +49,12 @@
       elapsedMs: steadyTime() - startedAt,
       open: origin.open(),
       work: backend.work(),
+      unsent: connections.unsent(),
     });
   const isIdle = () => {
     const { clients, nested } = origin.open();
     const { running, waiting } = backend.work();
-    return clients + nested + running + waiting === 0;
+    return clients + nested + running + waiting + connections.unsent() === 0;
   };
 
   report("stopping");
