Failing test: a route is charged for calls of runs that work on after them

Callers are learned from ends of runs within 3 ms of the reply to a call. Where one caller is known and another isn't yet, the whole cost goes to the first and the other is charged nothing.

Listed as known red.

--- a/src/costs/callers_test.ts
+++ b/src/costs/callers_test.ts
@@ -21,7 +21,13 @@
 type Event = { at: number; note: (graph: CallGraph, at: number) => void };
 
 /** Plays both routes; a process without time handles events in clumps. */
-function play({ clumpMs }: { clumpMs: number }): CallGraph {
+function play(
+  { clumpMs, workOnMs = 0 }: {
+    clumpMs: number;
+    /** Work of a run after its last call. */
+    workOnMs?: number;
+  },
+): CallGraph {
   const random = seededRandom(5);
   const wait = (meanMs: number) => -meanMs * Math.log(1 - random());
   const events: Event[] = [];
@@ -44,6 +50,7 @@
         });
         now += 0.2 + random();
       }
+      if (calls > 0) now += workOnMs;
       events.push({ at: now, note: (graph, at) => noteEnd(graph, route, at) });
     }
   }
@@ -67,3 +74,9 @@
     t.false(makesCalls(play({ clumpMs }), "deep", PLAIN.route));
   });
 }
+
+// Roots without calls were refused for a service that they don't use.
+test("a route is charged for calls of runs that work on after them", (t) => {
+  const graph = play({ clumpMs: 0, workOnMs: 10 });
+  t.is(callsPerRun(graph, "deep", PLAIN.route), 0);
+});
