Close links that don't introduce themselves

A connection to the mesh port that never said which daemon it is could stay open without end, make the daemon hold 72 MB of one unfinished message, and put a configuration into force. The same holds for a process that listens at the address of a daemon that is gone.

Cause: the limit of a frame was the same before and after the introduction, only calls checked for it, and nothing bounded the time until it.

Until the entry of the other side has come, a frame may have 16 KB, messages other than the introduction close an accepted link, and after 3 s the link is closed from either side. `link-closed` tells why.

--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -15,6 +15,8 @@
   link: Link;
   /** Null until the other side has introduced itself. */
   entry: Entry | null;
+  /** Steady time at which it was opened, in ms. */
+  openedAt: number;
   /** Cancels the calls that have no outcome yet, by stream. */
   cancels: Map<number, () => void>;
   told: Told;
@@ -27,7 +29,7 @@
   onHello: (accepted: Accepted, entry: Entry) => void;
   onConfig: (version: number, bytes: Uint8Array) => void;
   onConfigWanted: (link: Link, version: number) => void;
-  onClose: (accepted: Accepted) => void;
+  onClose: (accepted: Accepted, reason: string) => void;
   /** Runs a call at the backend server; returns what cancels it. */
   serve: (
     request: CallRequest,
@@ -40,16 +42,17 @@
   const { steadyTime, onClose } = handlers;
   const accepted: Accepted = {
     entry: null,
+    openedAt: steadyTime(),
     cancels: new Map(),
     told: { load: 0, runMs: 0, at: -Infinity, requestedAt: -Infinity },
     link: createLink(socket, {
       steadyTime,
       onMessage: (message) => receive(accepted, message, handlers),
-      onClose() {
+      onClose(reason) {
         const cancels = [...accepted.cancels.values()];
         accepted.cancels.clear();
         for (const cancel of cancels) cancel();
-        onClose(accepted);
+        onClose(accepted, reason);
       },
     }),
   };
@@ -62,6 +65,10 @@
   message: Message,
   handlers: Handlers,
 ): void {
+  if (accepted.entry === null && message[0] !== "hello") {
+    accepted.link.close("not introduced");
+    return;
+  }
   const handle = RECEIVERS[message[0]];
   if (handle === undefined) {
     handlers.log("peer-message-ignored", { kind: String(message[0]) });
@@ -77,14 +84,14 @@
 ) => void;
 
 const RECEIVERS: { [Kind in Message[0]]?: Receiver<Kind> } = {
-  hello(accepted, [, input], { log, entry, onHello }) {
+  hello(accepted, [, input], { entry, onHello }) {
     const parsed = Entry.safeParse(input);
     if (!parsed.success) {
-      log("peer-entry-unreadable", {});
-      accepted.link.close();
+      accepted.link.close("unreadable entry");
       return;
     }
     accepted.entry = parsed.data;
+    accepted.link.trust();
     accepted.link.send(["entry", entry()]);
     onHello(accepted, parsed.data);
   },
@@ -102,15 +109,11 @@
     cancel?.();
   },
   request(accepted, [, stream, head, remainingMs, body], handlers) {
-    const { entry, link, cancels } = accepted;
-    if (entry === null) {
-      link.close();
-      return;
-    }
+    const { link, cancels } = accepted;
     accepted.told.requestedAt = handlers.steadyTime();
     const request: CallRequest = {
       ...readCallHead(head),
-      caller: entry.service,
+      caller: accepted.entry!.service,
       body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
       expiresAt: accepted.told.requestedAt + remainingMs,
     };
--- a/src/mesh/create_frame_reader.ts
+++ b/src/mesh/create_frame_reader.ts
@@ -3,10 +3,11 @@
 
 /**
  * Splits a stream into frames, each behind its length in four bytes. The
- * returned function is false once a frame exceeds `maxBytes`.
+ * returned function is false once a frame exceeds `maxBytes`, which is asked for
+ * each frame anew.
  */
 export function createFrameReader(
-  maxBytes: number,
+  maxBytes: () => number,
   onFrame: (frame: Buffer) => void,
 ): (chunk: Buffer) => boolean {
   let buffer: Buffer = EMPTY;
@@ -23,7 +24,7 @@
     let at = 0;
     while (buffer.length - at >= LENGTH_BYTES) {
       const bytes = buffer.readUInt32BE(at);
-      if (bytes > maxBytes) return false;
+      if (bytes > maxBytes()) return false;
       wanted = LENGTH_BYTES + bytes;
       if (buffer.length - at < wanted) break;
       onFrame(buffer.subarray(at + LENGTH_BYTES, at + wanted));
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -6,6 +6,8 @@
 
 // The largest body that the product takes, with room for its fields.
 const MAX_FRAME_BYTES = 72 * 1024 * 1024;
+// A first message holds an entry: names, addresses and some figures.
+const MAX_FIRST_FRAME_BYTES = 16 * 1024;
 const LENGTH_BYTES = 4;
 
 /** Frames messages on a connected socket; `onClose` is called once. */
@@ -18,6 +20,7 @@
   },
 ): Link {
   let closed = false;
+  let maxFrameBytes = MAX_FIRST_FRAME_BYTES;
   let queue: Buffer[] = [];
   let queuedBytes = 0;
   const close = (reason: string) => {
@@ -26,10 +29,11 @@
     socket.destroy();
     onClose(reason);
   };
-  const read = createFrameReader(MAX_FRAME_BYTES, (frame) => {
+  const read = createFrameReader(() => maxFrameBytes, (frame) => {
+    if (closed) return;
     const message = unpack(frame);
     if (message === null) close("unreadable message");
-    else if (!closed) onMessage(message);
+    else onMessage(message);
   });
   const flush = () => {
     // One write of joined frames costs less than a vector of small ones.
@@ -52,7 +56,10 @@
       link.receivedAt = steadyTime();
       if (!read(chunk)) close("oversized message");
     },
-    close: () => close("closed"),
+    close,
+    trust() {
+      maxFrameBytes = MAX_FRAME_BYTES;
+    },
   };
   socket.setNoDelay(true);
   socket.on("error", ({ message }) => close(message));
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -4,6 +4,7 @@
 import { acceptLink } from "./accept_link.ts";
 import { createPeer } from "./create_peer.ts";
 import type { Entry } from "./entry.ts";
+import type { Link } from "./link.ts";
 import { indexPeers } from "./index_peers.ts";
 import { isReportDue } from "./is_report_due.ts";
 import type { Mesh } from "./mesh.ts";
@@ -18,6 +19,9 @@
 const SILENCE_MS = 1_500;
 // A link that owes an answer to a ping for this long gets no new calls.
 const SUSPECT_MS = 400;
+// The first message goes out with the connection; the rest is room for a daemon
+// that starts and is short of processor time.
+const INTRODUCTION_MS = 3_000;
 // A gap between two ticks above this means that this process stood still; the
 // links had no chance to show life.
 const PAUSE_MS = 1_000;
@@ -68,7 +72,7 @@
   let nextStream = 0;
   let tickedAt = steadyTime();
 
-  const handOver = (link: Accepted["link"], version: number) => {
+  const handOver = (link: Link, version: number) => {
     const current = configuration();
     if (current !== null && current.version > version) {
       link.send(["config", current.version, current.bytes]);
@@ -109,6 +113,8 @@
   };
 
   const server = createServer((socket) => {
+    // A closed socket no longer tells it.
+    const from = socket.remoteAddress;
     accepted.add(acceptLink(socket, {
       steadyTime,
       log,
@@ -116,7 +122,14 @@
       serve,
       onConfig,
       onConfigWanted: handOver,
-      onClose: (link) => accepted.delete(link),
+      onClose(closed, reason) {
+        accepted.delete(closed);
+        log("link-closed", {
+          from,
+          peer: closed.entry?.name,
+          reason,
+        });
+      },
       onHello({ link }, entry) {
         if (entry.alone) link.send(["peers", [...peers.keys()]]);
         handOver(link, entry.routeVersion);
@@ -191,7 +204,13 @@
       const now = steadyTime();
       const paused = now - tickedAt > PAUSE_MS;
       tickedAt = now;
+      for (const { entry, openedAt, link } of [...accepted]) {
+        if (entry === null && !paused) closeUnintroduced(link, openedAt, now);
+      }
       for (const peer of peers.values()) {
+        if (peer.link !== null && peer.entry === null && !paused) {
+          closeUnintroduced(peer.link, peer.openedAt, now);
+        }
         if (peer.link !== null) {
           const quietMs = quietLimit(peer.calls.size, peers.size);
           if (!checkLink(peer, { now, paused, quietMs })) onSilence();
@@ -205,6 +224,11 @@
   };
 }
 
+/** Closes a link whose other side should have said by now who it is. */
+function closeUnintroduced(link: Link, openedAt: number, now: number): void {
+  if (now - openedAt > INTRODUCTION_MS) link.close("not introduced");
+}
+
 /** Pings a quiet link; closes one that doesn't answer and returns false. */
 function checkLink(
   peer: Peer,
@@ -222,7 +246,7 @@
       for (const { onSilence } of [...peer.calls.values()]) onSilence();
     }
     if (now - peer.pingedAt <= SILENCE_MS) return true;
-    link.close();
+    link.close("silent");
     return false;
   }
   if (now - link.receivedAt > quietMs) {
--- a/src/mesh/create_peer.ts
+++ b/src/mesh/create_peer.ts
@@ -7,6 +7,7 @@
     entry: null,
     link: null,
     connecting: false,
+    openedAt: -Infinity,
     departure: null,
     calls: new Map(),
     load: 0,
--- a/src/mesh/frame_reader_test.ts
+++ b/src/mesh/frame_reader_test.ts
@@ -14,7 +14,7 @@
     fc.property(bodies, fc.integer({ min: 1, max: 20 }), (sent, size) => {
       const bytes = Buffer.concat(sent.map(frame));
       const got: Buffer[] = [];
-      const read = createFrameReader(64, (body) => got.push(body));
+      const read = createFrameReader(() => 64, (body) => got.push(body));
       for (let at = 0; at < bytes.length; at += size) {
         t.true(read(bytes.subarray(at, at + size)));
       }
@@ -24,6 +24,6 @@
 });
 
 test("an oversized frame ends the stream", (t) => {
-  const read = createFrameReader(64, () => t.fail());
+  const read = createFrameReader(() => 64, () => t.fail());
   t.false(read(frame(new Uint8Array(65))));
 });
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -6,7 +6,9 @@
   send(message: Message): void;
   /** Takes the next bytes of the connection. */
   receive(chunk: Buffer): void;
-  close(): void;
+  close(reason: string): void;
+  /** Lets the other side send large messages: it has introduced itself. */
+  trust(): void;
   /** Steady time at which the last bytes came in, in ms. */
   receivedAt: number;
 };
--- /dev/null
+++ b/src/mesh/mesh_test_fixture.ts
@@ -0,0 +1,91 @@
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import type { Mesh } from "./mesh.ts";
+import { createMesh } from "./create_mesh.ts";
+import { createFrameReader } from "./create_frame_reader.ts";
+import type { Entry } from "./entry.ts";
+import type { Message } from "./message.ts";
+import { messageCodec } from "./message_codec.ts";
+
+type Over = Partial<Parameters<typeof createMesh>[0]>;
+
+/** One line of a mesh's log. */
+type Line = { event: string; from?: string; reason?: string };
+
+/** Meshes on loopback addresses and bare connections to them. */
+export const meshTestFixture = {
+  entry: (host: string): Entry => ({
+    name: host,
+    address: `${host}:${PORT}`,
+    dataCentre: "a",
+    service: "s",
+    server: {
+      id: `i-${host}`,
+      slots: 8,
+      leaving: false,
+      signedOff: false,
+      startedAt: 0,
+      cold: false,
+    },
+    routeVersion: 0,
+    storeReachable: true,
+    alone: false,
+  }),
+
+  /** Starts a mesh whose time is what `clock.now` says. */
+  start(host: string, over: Over = {}) {
+    const clock = { now: 0 };
+    const lines: Line[] = [];
+    const mesh: Mesh = createMesh({
+      host,
+      port: PORT,
+      self: () => meshTestFixture.entry(host),
+      steadyTime: () => clock.now,
+      log: (event, fields) => lines.push({ event, ...fields } as Line),
+      serve: () => () => {},
+      configuration: () => null,
+      onConfig: () => {},
+      onConfirmed: () => {},
+      onDeparted: () => {},
+      onSilence: () => {},
+      random: () => 0,
+      ...over,
+    });
+    /** Lets time pass as the daemon's ticker does. */
+    const pass = (ms: number) => {
+      for (let left = ms; left > 0; left -= TICK_MS) {
+        clock.now += TICK_MS;
+        mesh.tick();
+      }
+    };
+    return { mesh, clock, lines, pass };
+  },
+
+  /** Opens a bare connection and collects the messages that come in on it. */
+  async connect(host: string) {
+    const socket = connect(PORT, host);
+    socket.on("error", () => {});
+    await once(socket, "connect");
+    const messages: Message[] = [];
+    const read = createFrameReader(() => Infinity, (frame) => {
+      messages.push(messageCodec.unpack(frame));
+    });
+    socket.on("data", read);
+    return {
+      socket,
+      messages,
+      send: (...sent: Message[]) => sent.forEach((one) => write(socket, one)),
+    };
+  },
+};
+
+const PORT = 7620;
+const TICK_MS = 100;
+const LENGTH_BYTES = 4;
+
+function write(socket: Socket, message: Message): void {
+  const payload = messageCodec.pack(message);
+  const length = Buffer.alloc(LENGTH_BYTES);
+  length.writeUInt32BE(payload.length);
+  socket.write(Buffer.concat([length, payload]));
+}
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -74,6 +74,7 @@
     peer.connecting = false;
     peer.link = link;
     link.receivedAt = steadyTime();
+    peer.openedAt = link.receivedAt;
     link.send(["hello", hello()]);
   });
 }
@@ -105,6 +106,7 @@
     }
     const first = peer.entry === null;
     peer.entry = parsed.data;
+    peer.link!.trust();
     noteDeparture(peer, parsed.data.server);
     if (first) {
       log("peer-found", { peer: parsed.data.name, address: peer.address });
--- a/src/mesh/peer.ts
+++ b/src/mesh/peer.ts
@@ -10,6 +10,8 @@
   entry: Entry | null;
   link: Link | null;
   connecting: boolean;
+  /** Steady time at which the present link was opened, in ms. */
+  openedAt: number;
   /** Its server that said that it leaves; kept for the daemon's next process. */
   departure: { id: string; startedAt: number } | null;
   /** Calls without an outcome, by stream. */
