Add an account of bytes held in memory

Several parts of a daemon hold bytes for others: answers being read, requests being read, frames. Each is bounded on its own, their sum isn't. The account has one limit and takes bytes or refuses them; nothing uses it yet.

--- /dev/null
+++ b/src/core/create_byte_budget.ts
@@ -0,0 +1,20 @@
+import assert from "node:assert";
+import type { ByteBudget } from "./byte_budget.ts";
+
+/** Creates an account of which nothing is taken. */
+export function createByteBudget(limit: number): ByteBudget {
+  let held = 0;
+  return {
+    limit,
+    held: () => held,
+    take(bytes) {
+      if (held + bytes > limit) return false;
+      held += bytes;
+      return true;
+    },
+    release(bytes) {
+      assert(bytes <= held, "more bytes released than taken");
+      held -= bytes;
+    },
+  };
+}
