Bound what a link holds unsent

A daemon that didn't read let the queues of all that sent to it grow without bound, and kept its link as long as it sent something itself. A link that was busy with a large body, on the other hand, was pinged, held suspect after 0.4 s and closed after 1.5 s, since the ping waited behind the body; its calls were lost.

Cause: everything was handed to the socket at once, which says neither how much waits nor whether any of it moves, and only received bytes counted as life.

A link now writes 64 KB at a time. Above 16 MB unsent it takes no more bodies: a call ends as not run before a byte of it is sent, so it goes to another server, and an answer ends as unknown at the origin. A write that waits 1.5 s closes the link; one that ends after it has waited counts as life.

The five tests in unread_link_test.ts failed before: 100 of 100 MB queued for a reader that stood still, no answer dropped, no link closed after 2 s, and a link that carried 30 MB to a slow reader held suspect. (One of the five, on cancelling, asks for room by a function that didn't exist.)

--- a/src/calls/call_outcome.ts
+++ b/src/calls/call_outcome.ts
@@ -29,7 +29,8 @@
   | "no-server"
   | "other-server"
   | "server-rejected"
-  | "connect-failed";
+  | "connect-failed"
+  | "no-room";
 
 type UnknownReason =
   | "connection-lost"
@@ -38,4 +39,5 @@
   | "truncated-response"
   | "unsigned-response"
   | "link-lost"
+  | "no-room"
   | "expired";
--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -123,12 +123,26 @@
       cancels.delete(stream);
       accepted.told.load = report.load;
       accepted.told.at = handlers.steadyTime();
-      link.send(SETTLED[outcome.kind](stream, outcome as never, report));
+      const fits = outcome.kind !== "answered" || outcome.body.length === 0 ||
+        link.hasRoom();
+      if (fits) {
+        link.send(SETTLED[outcome.kind](stream, outcome as never, report));
+        return;
+      }
+      handlers.log("answer-dropped", {
+        id: request.id,
+        bytes: outcome.body.length,
+        reason: NO_ROOM.reason,
+      });
+      link.send(SETTLED.unknown(stream, NO_ROOM, report));
     });
     if (!settled) cancels.set(stream, cancel);
   },
 };
 
+// The request has run, so its caller must not be told that it hasn't.
+const NO_ROOM = { kind: "unknown", reason: "no-room" } as const;
+
 const SETTLED: {
   [Kind in CallOutcome["kind"]]: (
     stream: number,
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -22,6 +22,9 @@
 // The first message goes out with the connection; the rest is room for a daemon
 // that starts and is short of processor time.
 const INTRODUCTION_MS = 3_000;
+// As long as a silent link: one that takes no bytes is as good as cut, also
+// where some still come from it.
+const BLOCKED_MS = SILENCE_MS;
 // A gap between two ticks above this means that this process stood still; the
 // links had no chance to show life.
 const PAUSE_MS = 1_000;
@@ -189,6 +192,17 @@
       }
       const stream = nextStream++;
       peer.calls.set(stream, { onOutcome, onSilence });
+      if (request.body.length > 0 && !link.hasRoom()) {
+        // The caller gets the function that cancels before the outcome.
+        queueMicrotask(() => {
+          if (!peer.calls.delete(stream)) return;
+          onOutcome(
+            { kind: "not-run", reason: "no-room", arrived: false },
+            null,
+          );
+        });
+        return () => peer.calls.delete(stream);
+      }
       peer.sentSince++;
       const remainingMs = Math.max(
         0,
@@ -205,9 +219,11 @@
       const paused = now - tickedAt > PAUSE_MS;
       tickedAt = now;
       for (const { entry, openedAt, link } of [...accepted]) {
+        closeBlocked(link, now, paused);
         if (entry === null && !paused) closeUnintroduced(link, openedAt, now);
       }
       for (const peer of peers.values()) {
+        if (peer.link !== null) closeBlocked(peer.link, now, paused);
         if (peer.link !== null && peer.entry === null && !paused) {
           closeUnintroduced(peer.link, peer.openedAt, now);
         }
@@ -229,13 +245,20 @@
   if (now - openedAt > INTRODUCTION_MS) link.close("not introduced");
 }
 
+/** Closes a link whose other side reads nothing. */
+function closeBlocked(link: Link, now: number, paused: boolean): void {
+  if (link.blockedSince === null) return;
+  if (paused) link.blockedSince = now;
+  else if (now - link.blockedSince > BLOCKED_MS) link.close("not read");
+}
+
 /** Pings a quiet link; closes one that doesn't answer and returns false. */
 function checkLink(
   peer: Peer,
   { now, paused, quietMs }: { now: number; paused: boolean; quietMs: number },
 ): boolean {
   const link = peer.link!;
-  if (peer.pingedAt !== null && link.receivedAt > peer.pingedAt) {
+  if (peer.pingedAt !== null && link.aliveAt > peer.pingedAt) {
     peer.pingedAt = null;
   }
   if (paused) peer.pingedAt = null;
@@ -249,7 +272,7 @@
     link.close("silent");
     return false;
   }
-  if (now - link.receivedAt > quietMs) {
+  if (now - link.aliveAt > quietMs) {
     peer.pingedAt = now;
     link.send(["ping"]);
   }
--- a/src/mesh/mesh_test_fixture.ts
+++ b/src/mesh/mesh_test_fixture.ts
@@ -1,5 +1,6 @@
 import { once } from "node:events";
-import { connect, type Socket } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
+import type { CallRequest } from "../calls/call_request.ts";
 import type { Mesh } from "./mesh.ts";
 import { createMesh } from "./create_mesh.ts";
 import { createFrameReader } from "./create_frame_reader.ts";
@@ -61,6 +62,36 @@
     return { mesh, clock, lines, pass };
   },
 
+  /** Listens as a daemon that introduces itself and does nothing else. */
+  async listen(host: string): Promise<Socket> {
+    const server = createServer().listen(PORT, host);
+    await once(server, "listening");
+    return new Promise((resolve) => {
+      server.once("connection", (socket: Socket) => {
+        socket.on("error", () => {});
+        write(socket, ["entry", meshTestFixture.entry(host)]);
+        resolve(socket);
+      });
+    });
+  },
+
+  /** A call with a body of this size. */
+  request: (bytes: number): CallRequest => ({
+    id: "q",
+    method: "GET",
+    target: "/",
+    fields: [],
+    body: Buffer.alloc(bytes),
+    route: "r",
+    serverId: "i",
+    caller: "s",
+    nested: false,
+    rank: 0,
+    repeatable: true,
+    repeated: 0,
+    expiresAt: 10_000,
+  }),
+
   /** Opens a bare connection and collects the messages that come in on it. */
   async connect(host: string) {
     const socket = connect(PORT, host);
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -73,8 +73,8 @@
     open = true;
     peer.connecting = false;
     peer.link = link;
-    link.receivedAt = steadyTime();
-    peer.openedAt = link.receivedAt;
+    link.aliveAt = steadyTime();
+    peer.openedAt = link.aliveAt;
     link.send(["hello", hello()]);
   });
 }
