Send large bodies between daemons in pieces

A large body delayed all others on its link: small calls behind an answer of 12 MB on a link of 4 MB a second waited for seconds, and were lost with the link where it was given up.

Cause: a message held its whole body in one frame.

Bodies above 63 KB now go out in pieces that take turns with the other messages of the link. Four pieces may be under way until the other side has read one, so that the kernel's buffers don't hold the rest ahead of small messages; a window that stays full for 1.5 s closes the link like a write that waits. The receiver joins pieces within the stated length, at most 64 bodies at once, and the message that ends a body tells the whole length again. Pieces of cancelled calls are neither sent on nor kept. Entries say whether a daemon takes pieces; one of an earlier version sends and gets a body in one frame.

--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -47,6 +47,7 @@
     told: { load: 0, runMs: 0, at: -Infinity, requestedAt: -Infinity },
     link: createLink(socket, {
       steadyTime,
+      expects: () => true,
       onMessage: (message) => receive(accepted, message, handlers),
       onClose(reason) {
         const cancels = [...accepted.cancels.values()];
@@ -91,7 +92,7 @@
       return;
     }
     accepted.entry = parsed.data;
-    accepted.link.trust();
+    accepted.link.trust(parsed.data);
     accepted.link.send(["entry", entry()]);
     onHello(accepted, parsed.data);
   },
@@ -103,18 +104,25 @@
   ping(accepted) {
     accepted.link.send(["pong"]);
   },
-  cancel({ cancels }, [, stream]) {
+  cancel({ cancels, link }, [, stream]) {
+    link.cancelBody(stream);
+    link.dropBody(stream);
     const cancel = cancels.get(stream);
     cancels.delete(stream);
     cancel?.();
   },
-  request(accepted, [, stream, head, remainingMs, body], handlers) {
+  request(accepted, [, stream, head, remainingMs, last, total], handlers) {
     const { link, cancels } = accepted;
+    const body = link.takeBody(stream, last, total);
+    if (body === null) {
+      link.close("malformed body");
+      return;
+    }
     accepted.told.requestedAt = handlers.steadyTime();
     const request: CallRequest = {
       ...readCallHead(head),
       caller: accepted.entry!.service,
-      body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
+      body,
       expiresAt: accepted.told.requestedAt + remainingMs,
     };
     let settled = false;
@@ -123,18 +131,13 @@
       cancels.delete(stream);
       accepted.told.load = report.load;
       accepted.told.at = handlers.steadyTime();
-      const fits = outcome.kind !== "answered" || outcome.body.length === 0 ||
-        link.hasRoom();
-      if (fits) {
-        link.send(SETTLED[outcome.kind](stream, outcome as never, report));
-        return;
+      if (!sendOutcome(link, stream, outcome, report)) {
+        handlers.log("answer-dropped", {
+          id: request.id,
+          bytes: outcome.kind === "answered" ? outcome.body.length : 0,
+          reason: NO_ROOM.reason,
+        });
       }
-      handlers.log("answer-dropped", {
-        id: request.id,
-        bytes: outcome.body.length,
-        reason: NO_ROOM.reason,
-      });
-      link.send(SETTLED.unknown(stream, NO_ROOM, report));
     });
     if (!settled) cancels.set(stream, cancel);
   },
@@ -143,22 +146,41 @@
 // The request has run, so its caller must not be told that it hasn't.
 const NO_ROOM = { kind: "unknown", reason: "no-room" } as const;
 
+/** Returns false where an answer is replaced, since it finds no room. */
+function sendOutcome(
+  link: Link,
+  stream: number,
+  outcome: CallOutcome,
+  report: CallReport,
+): boolean {
+  if (outcome.kind !== "answered") {
+    link.send(SETTLED[outcome.kind](stream, outcome as never, report));
+    return true;
+  }
+  const { status, fields, body } = outcome;
+  const fits = body.length === 0 || link.hasRoom(body.length);
+  if (fits) {
+    link.sendBody(stream, body, (bytes, ...total) => [
+      "answered",
+      stream,
+      status,
+      fields as string[],
+      bytes,
+      report.load,
+      report.route,
+      ...total,
+    ]);
+  } else link.send(SETTLED.unknown(stream, NO_ROOM, report));
+  return fits;
+}
+
 const SETTLED: {
-  [Kind in CallOutcome["kind"]]: (
+  [Kind in Exclude<CallOutcome["kind"], "answered">]: (
     stream: number,
     outcome: Extract<CallOutcome, { kind: Kind }>,
     report: CallReport,
   ) => Message;
 } = {
-  answered: (stream, { status, fields, body }, { load, route }) => [
-    "answered",
-    stream,
-    status,
-    fields as string[],
-    body,
-    load,
-    route,
-  ],
   "not-run": (stream, { reason, waitMs = 0, arrived }, { load }) => [
     "not-run",
     stream,
--- /dev/null
+++ b/src/mesh/create_body_inbox.ts
@@ -0,0 +1,44 @@
+import type { BodyInbox } from "./body_inbox.ts";
+
+/** Creates an inbox without bodies. */
+export function createBodyInbox(
+  { maxBodyBytes, mostAtOnce }: {
+    maxBodyBytes: number;
+    /** Bodies that the other side may have begun. */
+    mostAtOnce: number;
+  },
+): BodyInbox {
+  const bodies = new Map<number, { joined: Buffer; held: number }>();
+  return {
+    add(stream, total, piece) {
+      let body = bodies.get(stream);
+      if (body === undefined) {
+        if (!(total > 0 && total <= maxBodyBytes)) return false;
+        if (bodies.size >= mostAtOnce) return false;
+        // Memory is used up to what has been written.
+        body = { joined: Buffer.allocUnsafeSlow(total), held: 0 };
+        bodies.set(stream, body);
+      }
+      const { joined, held } = body;
+      // The last piece comes with the message that ends the body.
+      if (total !== joined.length || held + piece.length >= total) return false;
+      joined.set(piece, held);
+      body.held += piece.length;
+      return true;
+    },
+    finish(stream, last, total) {
+      const body = bodies.get(stream);
+      bodies.delete(stream);
+      if (body === undefined) return null;
+      const { joined, held } = body;
+      const whole = total === joined.length && held + last.length === total;
+      if (!whole) return null;
+      joined.set(last, held);
+      return joined;
+    },
+    drop(stream) {
+      bodies.delete(stream);
+    },
+    clear: () => bodies.clear(),
+  };
+}
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -1,13 +1,19 @@
 import type { Socket } from "node:net";
 import process from "node:process";
+import { createBodyInbox } from "./create_body_inbox.ts";
+import { createBodyOutbox } from "./create_body_outbox.ts";
 import { createByteQueue } from "./create_byte_queue.ts";
 import { createFrameReader } from "./create_frame_reader.ts";
 import type { Link } from "./link.ts";
 import type { Message } from "./message.ts";
 import { messageCodec } from "./message_codec.ts";
 
-// The largest body that the product takes, with room for its fields.
-const MAX_FRAME_BYTES = 72 * 1024 * 1024;
+// The largest body that the product takes.
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+// Daemons of earlier versions send a body in one frame, with its fields.
+const MAX_WHOLE_FRAME_BYTES = 72 * 1024 * 1024;
+// The largest message without a body is a configuration.
+const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 // A first message holds an entry: names, addresses and some figures.
 const MAX_FIRST_FRAME_BYTES = 16 * 1024;
 // A link with more unsent bytes than this takes no further body; one body on
@@ -15,76 +21,169 @@
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 // Bytes of one write: a write that ends shows that the other side reads.
 const WRITE_BYTES = 64 * 1024;
+// A larger body travels in pieces; with its frame, a piece fits one write.
+const PIECE_BYTES = 63 * 1024;
+// Pieces that may be under way: enough for a way of 10 ms at 200 Mbit/s, and
+// few enough for a small message to overtake the rest of a body.
+const WINDOW_BYTES = 4 * PIECE_BYTES;
+// Bodies that take turns, so that the other side holds few unfinished ones.
+const MOST_BODIES_SENT = 16;
+// The same for those that come in, with room for another bound there.
+const MOST_BODIES_TAKEN = 4 * MOST_BODIES_SENT;
 const LENGTH_BYTES = 4;
 
 /** Frames messages on a connected socket; `onClose` is called once. */
 export function createLink(
   socket: Socket,
-  { steadyTime, onMessage, onClose }: {
+  { steadyTime, expects, onMessage, onClose }: {
     steadyTime: () => number;
+    /** Whether the body of a stream is still of use. */
+    expects: (stream: number) => boolean;
     onMessage: (message: Message) => void;
     onClose: (reason: string) => void;
   },
 ): Link {
   let closed = false;
   let maxFrameBytes = MAX_FIRST_FRAME_BYTES;
+  let sendsPieces = false;
   const queue = createByteQueue();
+  const outbox = createBodyOutbox({
+    pieceBytes: PIECE_BYTES,
+    windowBytes: WINDOW_BYTES,
+    mostAtOnce: MOST_BODIES_SENT,
+  });
+  const inbox = createBodyInbox({
+    maxBodyBytes: MAX_BODY_BYTES,
+    mostAtOnce: MOST_BODIES_TAKEN,
+  });
   let scheduled = false;
   let writing: Buffer | null = null;
+  // Bytes of the queue up to the end of the piece that waits there.
+  let bytesToPiece = 0;
+  let writeBlockedSince: number | null = null;
+  let windowBlockedSince: number | null = null;
+
   const close = (reason: string) => {
     if (closed) return;
     closed = true;
     socket.destroy();
     queue.clear();
-    link.blockedSince = null;
+    outbox.clear();
+    inbox.clear();
+    writeBlockedSince = null;
+    windowBlockedSince = null;
     onClose(reason);
   };
   const read = createFrameReader(() => maxFrameBytes, (frame) => {
     if (closed) return;
     const message = unpack(frame);
     if (message === null) close("unreadable message");
+    else if (message[0] === "piece" && sendsPieces) takePiece(message);
+    else if (message[0] === "piece-read") acknowledge(message);
     else onMessage(message);
   });
+  const takePiece = (
+    [, stream, total, piece]: Extract<Message, { 0: "piece" }>,
+  ) => {
+    const bytes = piece instanceof Uint8Array ? piece.length : 0;
+    if (bytes === 0 || expects(stream) && !inbox.add(stream, total, piece)) {
+      close("malformed body");
+    } else link.send(["piece-read", bytes]);
+  };
+  const acknowledge = ([, bytes]: Extract<Message, { 0: "piece-read" }>) => {
+    if (!Number.isInteger(bytes)) {
+      close("unreadable message");
+      return;
+    }
+    outbox.acknowledge(bytes);
+    windowBlockedSince = null;
+    schedule();
+  };
+
+  const enqueue = (message: Message) => {
+    const payload = messageCodec.pack(message);
+    const length = Buffer.allocUnsafe(LENGTH_BYTES);
+    length.writeUInt32BE(payload.length);
+    queue.push(length);
+    queue.push(payload);
+  };
+  /** Queues one piece behind the messages that wait, and before later ones. */
+  const enqueuePiece = () => {
+    if (bytesToPiece > 0 || outbox.size() === 0) return;
+    const message = outbox.next();
+    if (message === null) windowBlockedSince ??= steadyTime();
+    else {
+      enqueue(message);
+      bytesToPiece = queue.size();
+    }
+  };
+  const schedule = () => {
+    if (closed || scheduled || writing !== null) return;
+    scheduled = true;
+    setImmediate(flush);
+  };
   const flush = () => {
     scheduled = false;
-    if (closed || writing !== null || queue.size() === 0) return;
+    if (closed || writing !== null) return;
+    enqueuePiece();
+    if (queue.size() === 0) return;
     const bytes = queue.take(WRITE_BYTES);
+    bytesToPiece = Math.max(0, bytesToPiece - bytes.length);
     writing = bytes;
     socket.write(bytes, () => {
       writing = null;
-      if (link.blockedSince !== null) link.aliveAt = steadyTime();
-      link.blockedSince = null;
+      if (writeBlockedSince !== null) link.aliveAt = steadyTime();
+      writeBlockedSince = null;
       flush();
     });
     // A write that the kernel took whole has ended by then.
     process.nextTick(() => {
-      if (!closed && writing === bytes) link.blockedSince = steadyTime();
+      if (!closed && writing === bytes) writeBlockedSince = steadyTime();
     });
   };
   const unsentBytes = () => queue.size() + (writing?.length ?? 0);
+  const inPieces = (bytes: number) => sendsPieces && bytes > PIECE_BYTES;
   const link: Link = {
     aliveAt: steadyTime(),
-    blockedSince: null,
     send(message) {
       if (closed) return;
-      if (!scheduled && writing === null) {
-        scheduled = true;
-        setImmediate(flush);
-      }
-      const payload = messageCodec.pack(message);
-      const length = Buffer.allocUnsafe(LENGTH_BYTES);
-      length.writeUInt32BE(payload.length);
-      queue.push(length);
-      queue.push(payload);
+      enqueue(message);
+      schedule();
+    },
+    sendBody(stream, body, toMessage) {
+      if (closed) return;
+      if (inPieces(body.length)) outbox.add(stream, body, toMessage);
+      else enqueue(toMessage(body));
+      schedule();
+    },
+    cancelBody(stream) {
+      const cancelled = outbox.cancel(stream);
+      if (outbox.size() === 0) windowBlockedSince = null;
+      return cancelled;
     },
-    hasRoom: () => unsentBytes() <= MAX_UNSENT_BYTES,
+    takeBody(stream, last, total) {
+      if (total !== undefined) return inbox.finish(stream, last, total);
+      return Buffer.from(last.buffer, last.byteOffset, last.byteLength);
+    },
+    dropBody: inbox.drop,
+    hasRoom(bytes) {
+      const inTurn = inPieces(bytes) ? outbox.size() : 0;
+      return unsentBytes() + inTurn <= MAX_UNSENT_BYTES;
+    },
+    idle: () => unsentBytes() + outbox.size() === 0,
     receive(chunk) {
       link.aliveAt = steadyTime();
       if (!read(chunk)) close("oversized message");
     },
     close,
-    trust() {
-      maxFrameBytes = MAX_FRAME_BYTES;
+    trust({ takesPieces }) {
+      sendsPieces = takesPieces;
+      maxFrameBytes = takesPieces ? MAX_FRAME_BYTES : MAX_WHOLE_FRAME_BYTES;
+    },
+    blockedSince: () => writeBlockedSince ?? windowBlockedSince,
+    excuse() {
+      if (writeBlockedSince !== null) writeBlockedSince = steadyTime();
+      if (windowBlockedSince !== null) windowBlockedSince = steadyTime();
     },
   };
   socket.setNoDelay(true);
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -192,7 +192,7 @@
       }
       const stream = nextStream++;
       peer.calls.set(stream, { onOutcome, onSilence });
-      if (request.body.length > 0 && !link.hasRoom()) {
+      if (request.body.length > 0 && !link.hasRoom(request.body.length)) {
         // The caller gets the function that cancels before the outcome.
         queueMicrotask(() => {
           if (!peer.calls.delete(stream)) return;
@@ -204,16 +204,28 @@
         return () => peer.calls.delete(stream);
       }
       peer.sentSince++;
-      const remainingMs = Math.max(
-        0,
-        Math.floor(request.expiresAt - steadyTime()),
-      );
       const head = writeCallHead(request);
-      link.send(["request", stream, head, remainingMs, request.body]);
+      const remainingMs = () =>
+        Math.max(0, Math.floor(request.expiresAt - steadyTime()));
+      link.sendBody(stream, request.body, (bytes, ...total) => [
+        "request",
+        stream,
+        head,
+        remainingMs(),
+        bytes,
+        ...total,
+      ]);
       return () => {
-        if (peer.calls.delete(stream)) link.send(["cancel", stream]);
+        if (!peer.calls.delete(stream)) return;
+        link.cancelBody(stream);
+        link.dropBody(stream);
+        link.send(["cancel", stream]);
       };
     },
+    idle: () =>
+      [...accepted, ...peers.values()].every(({ link }) =>
+        link === null || link.idle()
+      ),
     tick() {
       const now = steadyTime();
       const paused = now - tickedAt > PAUSE_MS;
@@ -247,9 +259,9 @@
 
 /** Closes a link whose other side reads nothing. */
 function closeBlocked(link: Link, now: number, paused: boolean): void {
-  if (link.blockedSince === null) return;
-  if (paused) link.blockedSince = now;
-  else if (now - link.blockedSince > BLOCKED_MS) link.close("not read");
+  if (paused) link.excuse();
+  const since = link.blockedSince();
+  if (since !== null && now - since > BLOCKED_MS) link.close("not read");
 }
 
 /** Pings a quiet link; closes one that doesn't answer and returns false. */
--- a/src/mesh/entry.ts
+++ b/src/mesh/entry.ts
@@ -23,6 +23,8 @@
   routeVersion: z.number().int().min(0),
   /** Whether the platform's store answered the daemon's last call. */
   storeReachable: z.boolean().default(true),
+  /** Whether the daemon takes large bodies in pieces; earlier ones didn't. */
+  takesPieces: z.boolean().default(false),
   /** Whether the daemon knows no other daemon yet. */
   alone: z.boolean(),
 });
--- a/src/mesh/entry_test.ts
+++ b/src/mesh/entry_test.ts
@@ -14,6 +14,7 @@
 test("an entry of an earlier version of the daemon is refused", (t) => {
   t.like(Entry.parse(first), {
     storeReachable: true,
+    takesPieces: false,
     server: { signedOff: false, startedAt: 0 },
   });
 });
--- a/src/mesh/introduction_test.ts
+++ b/src/mesh/introduction_test.ts
@@ -8,10 +8,7 @@
 // A mesh listens until its process ends.
 registerCompletionHandler(() => process.exit());
 
-const { connect, entry, start } = meshTestFixture;
-// Each test has a loopback network of its own.
-let net = 0;
-const nextHost = () => `127.141.${++net}.1`;
+const { connect, entry, nextHost, start } = meshTestFixture;
 
 // A connection that never said who it is could make a daemon hold 72 MB.
 test("an unintroduced link that sends a large frame is closed", async (t) => {
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -1,24 +1,43 @@
+import type { BodyMessage } from "./body_outbox.ts";
 import type { Message } from "./message.ts";
 
 /** One connection between two daemons. */
 export type Link = {
   /** Queues a message; the messages of one turn of the loop go out together. */
   send(message: Message): void;
-  /** Whether the unsent bytes leave room for another body. */
-  hasRoom(): boolean;
+  /**
+   * Sends a body of a stream, in pieces where it is large. `toMessage` makes
+   * the message that carries it or ends it.
+   */
+  sendBody(stream: number, body: Buffer, toMessage: BodyMessage): void;
+  /** Sends nothing more of a body; returns whether a part was unsent. */
+  cancelBody(stream: number): boolean;
+  /**
+   * Joins the body that a message carries or ends; null where pieces of it are
+   * missing.
+   */
+  takeBody(stream: number, last: Uint8Array, total?: number): Buffer | null;
+  /** Forgets the pieces that have come of a body. */
+  dropBody(stream: number): void;
+  /** Whether the unsent bytes leave room for another body of this size. */
+  hasRoom(bytes: number): boolean;
+  /** Whether nothing waits to be sent. */
+  idle(): boolean;
   /** Takes the next bytes of the connection. */
   receive(chunk: Buffer): void;
   close(reason: string): void;
-  /** Lets the other side send large messages: it has introduced itself. */
-  trust(): void;
+  /** Lets the other side, which has introduced itself, send large messages. */
+  trust(entry: { takesPieces: boolean }): void;
   /**
    * Steady time at which the other side last showed life, in ms: bytes came
    * in, or it took bytes that had waited for it.
    */
   aliveAt: number;
   /**
-   * Steady time since which it has taken none of the bytes that wait for it,
-   * in ms; null while none wait.
+   * Returns the steady time since which it has taken none of the bytes that
+   * wait for it, in ms; null while none wait.
    */
-  blockedSince: number | null;
+  blockedSince(): number | null;
+  /** Counts the time that the other side has to take bytes from now on. */
+  excuse(): void;
 };
--- a/src/mesh/mesh.ts
+++ b/src/mesh/mesh.ts
@@ -32,6 +32,8 @@
     onOutcome: (outcome: CallOutcome, report: CallReport | null) => void,
     onSilence: () => void,
   ): () => void;
+  /** Whether nothing waits to be sent to other daemons. */
+  idle(): boolean;
   /** Checks links for silence and opens lost ones again. */
   tick(): void;
 };
--- a/src/mesh/mesh_test_fixture.ts
+++ b/src/mesh/mesh_test_fixture.ts
@@ -1,5 +1,7 @@
 import { once } from "node:events";
 import { connect, createServer, type Socket } from "node:net";
+import process from "node:process";
+import { until } from "../../test/until.ts";
 import type { CallRequest } from "../calls/call_request.ts";
 import type { Mesh } from "./mesh.ts";
 import { createMesh } from "./create_mesh.ts";
@@ -15,6 +17,11 @@
 
 /** Meshes on loopback addresses and bare connections to them. */
 export const meshTestFixture = {
+  /** A loopback address that no other test of this process has. */
+  nextHost: () =>
+    `127.${140 + process.pid % 100}.${process.pid % 250}.${++hosts}`,
+
+  /** The entry of a daemon of an earlier version. */
   entry: (host: string): Entry => ({
     name: host,
     address: `${host}:${PORT}`,
@@ -30,6 +37,7 @@
     },
     routeVersion: 0,
     storeReachable: true,
+    takesPieces: false,
     alone: false,
   }),
 
@@ -40,7 +48,7 @@
     const mesh: Mesh = createMesh({
       host,
       port: PORT,
-      self: () => meshTestFixture.entry(host),
+      self: () => ({ ...meshTestFixture.entry(host), takesPieces: true }),
       steadyTime: () => clock.now,
       log: (event, fields) => lines.push({ event, ...fields } as Line),
       serve: () => () => {},
@@ -63,13 +71,13 @@
   },
 
   /** Listens as a daemon that introduces itself and does nothing else. */
-  async listen(host: string): Promise<Socket> {
+  async listen(host: string, over: Partial<Entry> = {}): Promise<Socket> {
     const server = createServer().listen(PORT, host);
     await once(server, "listening");
     return new Promise((resolve) => {
       server.once("connection", (socket: Socket) => {
         socket.on("error", () => {});
-        write(socket, ["entry", meshTestFixture.entry(host)]);
+        write(socket, ["entry", { ...meshTestFixture.entry(host), ...over }]);
         resolve(socket);
       });
     });
@@ -92,6 +100,16 @@
     expiresAt: 10_000,
   }),
 
+  /** Starts a mesh and links it to another mesh or bare listener. */
+  async link(to: string, over: Over = {}) {
+    const started = meshTestFixture.start(meshTestFixture.nextHost(), over);
+    const address = `${to}:${PORT}`;
+    started.mesh.meet(address);
+    const peer = started.mesh.peers.get(address)!;
+    await until("introduced", () => peer.entry !== null);
+    return { ...started, peer };
+  },
+
   /** Opens a bare connection and collects the messages that come in on it. */
   async connect(host: string) {
     const socket = connect(PORT, host);
@@ -111,6 +129,7 @@
 };
 
 const PORT = 7620;
+let hosts = 0;
 const TICK_MS = 100;
 const LENGTH_BYTES = 4;
 
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -26,16 +26,24 @@
   | ["pong"]
   /** Load and mean run time in ms of the accepting side's backend server. */
   | ["load", number, number]
-  /** Stream, head, remaining ms, body. */
+  /** Stream, length of its whole body, the next bytes of it. */
+  | ["piece", number, number, Uint8Array]
+  /** Bytes of pieces that the other side may send more. */
+  | ["piece-read", number]
+  /**
+   * Stream, head, remaining ms, body. After pieces, the last bytes of the body
+   * and its whole length.
+   */
   | [
     "request",
     number,
     CallHead,
     number,
     Uint8Array,
+    number?,
   ]
   | ["cancel", number]
-  /** Stream, status, fields, body, load, report on the route. */
+  /** Stream, status, fields, body, load, report on the route; pieces alike. */
   | [
     "answered",
     number,
@@ -44,6 +52,7 @@
     Uint8Array,
     number,
     RouteReport | null,
+    number?,
   ]
   /** Stream, reason, time until room is expected, arrived, load. */
   | ["not-run", number, string, number, boolean, number]
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -11,6 +11,7 @@
 // sent again after one second.
 const CONNECT_TIMEOUT_MS = 1_200;
 const RETRY_MS = 500;
+const NO_BODY = Buffer.alloc(0);
 
 type Handlers = {
   steadyTime: () => number;
@@ -40,6 +41,7 @@
   let open = false;
   const link = createLink(socket, {
     steadyTime,
+    expects: (stream) => peer.calls.has(stream),
     onMessage: (message) => receive(peer, message, handlers),
     onClose(reason) {
       clearTimeout(timer);
@@ -106,7 +108,7 @@
     }
     const first = peer.entry === null;
     peer.entry = parsed.data;
-    peer.link!.trust();
+    peer.link!.trust(parsed.data);
     noteDeparture(peer, parsed.data.server);
     if (first) {
       log("peer-found", { peer: parsed.data.name, address: peer.address });
@@ -129,12 +131,18 @@
     peer.runMs = runMs;
     peer.sentSince = 0;
   },
-  answered(peer, [, stream, status, fields, body, load, route]) {
+  answered(peer, [, stream, status, fields, last, load, route, total]) {
+    const body = peer.link!.takeBody(stream, last, total);
+    // The pieces of an answer to a cancelled call aren't kept.
+    if (body === null && peer.calls.has(stream)) {
+      peer.link!.close("malformed body");
+      return;
+    }
     settle(peer, stream, load, {
       kind: "answered",
       status,
       fields,
-      body: asBuffer(body),
+      body: body ?? NO_BODY,
     }, readRoute(route));
   },
   "not-run"(peer, [, stream, reason, waitMs, arrived, load]) {
@@ -173,6 +181,8 @@
   // The outcome of a cancelled call can cross its cancellation.
   if (call === undefined) return;
   peer.calls.delete(stream);
+  // Its outcome can come before its whole body was sent.
+  if (peer.link!.cancelBody(stream)) peer.link!.send(["cancel", stream]);
   call.onOutcome(outcome, { load, route });
 }
 
@@ -182,7 +192,3 @@
   const parsed = RouteReport.safeParse(input);
   return parsed.success ? parsed.data : null;
 }
-
-function asBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
--- a/src/mesh/unread_link_test.ts
+++ b/src/mesh/unread_link_test.ts
@@ -4,33 +4,28 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import { until } from "../../test/until.ts";
 import { meshTestFixture } from "./mesh_test_fixture.ts";
-import type { Peer } from "./peer.ts";
 
 // A mesh listens until its process ends.
 registerCompletionHandler(() => process.exit());
 
-const { connect, entry, listen, request, start } = meshTestFixture;
+const { connect, entry, link, listen, nextHost, request, start } =
+  meshTestFixture;
 const MB = 1024 * 1024;
 // What a link may hold unsent, one body on top of it, and what the kernel
 // takes of both sides.
 const MOST_MB = 16 + 1 + 15;
 const BODIES = 100;
 const REPORT = { load: 0, route: null };
-// Each test has loopback addresses of its own.
-let net = 0;
-const nextHost = () => `127.142.${++net}.1`;
 
-/** Starts a mesh that is linked to a daemon which reads only when told to. */
-async function linked(over: Parameters<typeof start>[1] = {}) {
+/** Starts a mesh that is linked to a bare listener. */
+async function linked(
+  over: Parameters<typeof link>[1] = {},
+  entry: Parameters<typeof listen>[1] = {},
+) {
   const host = nextHost();
-  const other = nextHost();
-  const started = start(host, over);
-  const accepted = listen(other);
-  started.mesh.meet(`${other}:7620`);
-  const socket = await accepted;
-  const peer = started.mesh.peers.get(`${other}:7620`) as Peer;
-  await until("introduced", () => peer.entry !== null);
-  return { ...started, socket, peer };
+  const accepted = listen(host, entry);
+  const started = await link(host, over);
+  return { ...started, socket: await accepted };
 }
 
 // A peer that doesn't read let the queue of answers grow without bound.
@@ -96,7 +91,7 @@
 test("a call that found no room can be cancelled", async (t) => {
   const { mesh, peer, socket } = await linked();
   socket.pause();
-  while (peer.link!.hasRoom()) {
+  while (peer.link!.hasRoom(MB)) {
     mesh.call(peer, request(4 * MB), () => {}, () => {});
     await new Promise((resolve) => setImmediate(resolve));
   }
@@ -133,6 +128,36 @@
   await once(socket, "close");
 });
 
+// The same where bodies go out in pieces, which wait for the other side.
+test("pieces that aren't read close the link", async (t) => {
+  const { mesh, lines, pass, peer, socket } = await linked({}, {
+    takesPieces: true,
+  });
+  socket.resume();
+  const outcomes: CallOutcome[] = [];
+  mesh.call(peer, request(MB), (one) => outcomes.push(one), () => {});
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  pass(1_400);
+  t.deepEqual(outcomes, []);
+  pass(300);
+  t.deepEqual(outcomes, [{ kind: "unknown", reason: "link-lost" }]);
+  t.true(
+    lines.some(({ event, reason }) =>
+      event === "peer-lost" && reason === "not read"
+    ),
+  );
+});
+
+test("a cancelled body leaves no time running", async (t) => {
+  const { mesh, pass, peer, socket } = await linked({}, { takesPieces: true });
+  socket.resume();
+  const cancel = mesh.call(peer, request(MB), () => t.fail(), () => {});
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  cancel();
+  pass(1_700);
+  t.not(peer.link, null);
+});
+
 // The ping waited behind the body, and its answer counted as overdue.
 test("a link that is busy with a large body isn't taken as silent", async (t) => {
   const { mesh, peer, socket } = await linked({
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -95,6 +95,7 @@
       service,
       routeVersion: configuration?.version ?? 0,
       storeReachable: watch.storeReachable(),
+      takesPieces: true,
       alone: mesh.peers.size === 0,
       server: server === null ? null : {
         id: server.id,
--- a/test/small_site.ts
+++ b/test/small_site.ts
@@ -1,8 +1,10 @@
 import type { Answer } from "../platform/standin/ask.ts";
 import type { Site, Vm } from "../platform/standin/site.ts";
+import { startSlowRelay } from "./support/slow_relay.ts";
 import { serves } from "./serves.ts";
 import { withSite } from "./with_site.ts";
 
+const MESH_PORT = 7620;
 const VMS = [
   { zone: "a", service: "front" },
   { zone: "a", service: "deep" },
@@ -14,6 +16,26 @@
 export const smallSite = {
   run: (net: number, run: (site: Site) => Promise<void>) =>
     withSite({ net, vms: VMS }, run),
+  /** The same with relays between the daemons that pass so much a second. */
+  async runThroughRelays(
+    { net, bytesPerS }: { net: number; bytesPerS: number },
+    run: (site: Site) => Promise<void>,
+  ) {
+    const meshHost = (at: number) => `127.${net}.1.${at + 1}`;
+    const relays = await Promise.all(
+      VMS.map((_vm, at) =>
+        startSlowRelay({ host: meshHost(at), port: MESH_PORT }, {
+          host: `127.${net}.0.${at + 1}`,
+          port: MESH_PORT,
+        }, bytesPerS)
+      ),
+    );
+    try {
+      await withSite({ net, vms: VMS, meshHost }, run);
+    } finally {
+      relays.forEach(({ close }) => close());
+    }
+  },
   serves: (vm: Vm) => serves(vm, ["front", "deep"]),
   /** Whether a client got a service's whole answer to its own request. */
   whole: ({ id, status, body }: Answer, service: string) =>
--- a/test/with_site.ts
+++ b/test/with_site.ts
@@ -7,11 +7,15 @@
 
 /** Runs a site until all its VMs serve all services, then `run`. */
 export async function withSite(
-  { net, vms }: { net: number; vms: Vms },
+  { net, vms, meshHost }: {
+    net: number;
+    vms: Vms;
+    meshHost?: (at: number) => string;
+  },
   run: (site: Site) => Promise<void>,
 ): Promise<void> {
   const services = [...new Set(vms.map(({ service }) => service))];
-  const site = await startSite({ net, vms });
+  const site = await startSite({ net, vms, meshHost });
   try {
     site.configure(1);
     await until("all serve", async () => {
