Let a stopping daemon send its last answers

Read in the code, not seen in a run: the origin of a request gets 502 for a run that a stopping daemon has finished, where the answer is still being sent as the last work ends.

Cause: a stop waited for requests and runs only; what was queued on the links was cut off by the end of the process.

A stop now also waits, within the grace period, until the links have sent all.

--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -280,6 +280,7 @@
         log,
         origin,
         backend,
+        mesh,
         connections,
         leave() {
           leaving = true;
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -1,6 +1,7 @@
 import type { Backend } from "../backend/backend.ts";
 import type { Logger } from "../core/logger.ts";
 import type { ClientConnections } from "../edge/client_connections.ts";
+import type { Mesh } from "../mesh/mesh.ts";
 import type { Origin } from "../origin/origin.ts";
 import { delay } from "./delay.ts";
 import { logOpenWork } from "./log_open_work.ts";
@@ -25,6 +26,7 @@
     log,
     origin,
     backend,
+    mesh,
     connections,
     leave,
     refusePeers,
@@ -35,6 +37,7 @@
     log: Logger;
     origin: Origin;
     backend: Backend;
+    mesh: Pick<Mesh, "idle">;
     connections: ClientConnections;
     /** Tells the other daemons that the own server takes no more requests. */
     leave: () => void;
@@ -53,7 +56,7 @@
   const isIdle = () => {
     const { clients, nested } = origin.open();
     const { running, waiting } = backend.work();
-    return clients + nested + running + waiting === 0;
+    return clients + nested + running + waiting === 0 && mesh.idle();
   };
 
   report("stopping");
