Bound what all links hold of bodies by one account

A daemon with many links could hold 16 MB unsent and one body for each of them, and any number of bodies that had begun to come and never ended: more than its memory.

Cause: each link was bounded for itself, unfinished frames and bodies only by the length that a message may have.

All links share one account of 60 MB. Bodies are taken into it before they are queued and piece by piece as they come, and given back when they are sent, whole, cancelled, refused or lost with the link. A call that finds no room hasn't run; one whose pieces find none at the receiver is refused there, and the rest of them isn't kept. An answer ends as unknown at the origin, which tells the sender to stop.

--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -2,6 +2,7 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import type { CallReport } from "../calls/call_report.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
@@ -20,11 +21,15 @@
   /** Cancels the calls that have no outcome yet, by stream. */
   cancels: Map<number, () => void>;
   told: Told;
+  /** Streams of calls whose bodies found no room and may still come. */
+  refused: Set<number>;
 };
 
 type Handlers = {
   steadyTime: () => number;
   log: Logger;
+  /** Account of what all links hold of bodies. */
+  budget: ByteBudget;
   entry: () => Entry;
   onHello: (accepted: Accepted, entry: Entry) => void;
   onConfig: (version: number, bytes: Uint8Array) => void;
@@ -39,15 +44,22 @@
 
 /** Serves the calls of another daemon on the link that it opened. */
 export function acceptLink(socket: Socket, handlers: Handlers): Accepted {
-  const { steadyTime, onClose } = handlers;
+  const { steadyTime, budget, onClose } = handlers;
   const accepted: Accepted = {
     entry: null,
     openedAt: steadyTime(),
     cancels: new Map(),
+    refused: new Set(),
     told: { load: 0, runMs: 0, at: -Infinity, requestedAt: -Infinity },
     link: createLink(socket, {
       steadyTime,
-      expects: () => true,
+      budget,
+      expects: (stream) => !accepted.refused.has(stream),
+      onRefused(stream) {
+        const { refused, link, told } = accepted;
+        refused.add(stream);
+        link.send(["not-run", stream, "no-room", 0, false, told.load]);
+      },
       onMessage: (message) => receive(accepted, message, handlers),
       onClose(reason) {
         const cancels = [...accepted.cancels.values()];
@@ -104,7 +116,8 @@
   ping(accepted) {
     accepted.link.send(["pong"]);
   },
-  cancel({ cancels, link }, [, stream]) {
+  cancel({ cancels, refused, link }, [, stream]) {
+    refused.delete(stream);
     link.cancelBody(stream);
     link.dropBody(stream);
     const cancel = cancels.get(stream);
@@ -113,6 +126,7 @@
   },
   request(accepted, [, stream, head, remainingMs, last, total], handlers) {
     const { link, cancels } = accepted;
+    if (accepted.refused.delete(stream)) return;
     const body = link.takeBody(stream, last, total);
     if (body === null) {
       link.close("malformed body");
@@ -158,19 +172,17 @@
     return true;
   }
   const { status, fields, body } = outcome;
-  const fits = body.length === 0 || link.hasRoom(body.length);
-  if (fits) {
-    link.sendBody(stream, body, (bytes, ...total) => [
-      "answered",
-      stream,
-      status,
-      fields as string[],
-      bytes,
-      report.load,
-      report.route,
-      ...total,
-    ]);
-  } else link.send(SETTLED.unknown(stream, NO_ROOM, report));
+  const fits = link.sendBody(stream, body, (bytes, ...total) => [
+    "answered",
+    stream,
+    status,
+    fields as string[],
+    bytes,
+    report.load,
+    report.route,
+    ...total,
+  ]);
+  if (!fits) link.send(SETTLED.unknown(stream, NO_ROOM, report));
   return fits;
 }
 
--- a/src/mesh/body_inbox.ts
+++ b/src/mesh/body_inbox.ts
@@ -6,5 +6,7 @@
   finish(stream: number, last: Uint8Array, total: number): Buffer | null;
   /** Forgets what has come of a body. */
   drop(stream: number): void;
+  /** Bytes that have come of unfinished bodies. */
+  size(): number;
   clear(): void;
 };
--- a/src/mesh/create_body_inbox.ts
+++ b/src/mesh/create_body_inbox.ts
@@ -9,6 +9,11 @@
   },
 ): BodyInbox {
   const bodies = new Map<number, { joined: Buffer; held: number }>();
+  let size = 0;
+  const drop = (stream: number) => {
+    size -= bodies.get(stream)?.held ?? 0;
+    bodies.delete(stream);
+  };
   return {
     add(stream, total, piece) {
       let body = bodies.get(stream);
@@ -24,11 +29,12 @@
       if (total !== joined.length || held + piece.length >= total) return false;
       joined.set(piece, held);
       body.held += piece.length;
+      size += piece.length;
       return true;
     },
     finish(stream, last, total) {
       const body = bodies.get(stream);
-      bodies.delete(stream);
+      drop(stream);
       if (body === undefined) return null;
       const { joined, held } = body;
       const whole = total === joined.length && held + last.length === total;
@@ -36,9 +42,11 @@
       joined.set(last, held);
       return joined;
     },
-    drop(stream) {
-      bodies.delete(stream);
+    drop,
+    size: () => size,
+    clear() {
+      bodies.clear();
+      size = 0;
     },
-    clear: () => bodies.clear(),
   };
 }
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -1,5 +1,7 @@
 import type { Socket } from "node:net";
 import process from "node:process";
+import type { ByteBudget } from "../core/byte_budget.ts";
+import { createByteHold } from "../core/create_byte_hold.ts";
 import { createBodyInbox } from "./create_body_inbox.ts";
 import { createBodyOutbox } from "./create_body_outbox.ts";
 import { createByteQueue } from "./create_byte_queue.ts";
@@ -16,8 +18,8 @@
 const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 // A first message holds an entry: names, addresses and some figures.
 const MAX_FIRST_FRAME_BYTES = 16 * 1024;
-// A link with more unsent bytes than this takes no further body; one body on
-// top of it still leaves most of the memory of a daemon (250 MB) free.
+// A link with more unsent bytes than this takes no further body, also where
+// the account of all links has room.
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 // Bytes of one write: a write that ends shows that the other side reads.
 const WRITE_BYTES = 64 * 1024;
@@ -35,10 +37,14 @@
 /** Frames messages on a connected socket; `onClose` is called once. */
 export function createLink(
   socket: Socket,
-  { steadyTime, expects, onMessage, onClose }: {
+  { steadyTime, budget, expects, onRefused, onMessage, onClose }: {
     steadyTime: () => number;
+    /** Account of what all links hold of bodies. */
+    budget: ByteBudget;
     /** Whether the body of a stream is still of use. */
     expects: (stream: number) => boolean;
+    /** The body of a stream finds no room; what has come of it is dropped. */
+    onRefused: (stream: number) => void;
     onMessage: (message: Message) => void;
     onClose: (reason: string) => void;
   },
@@ -56,6 +62,11 @@
     maxBodyBytes: MAX_BODY_BYTES,
     mostAtOnce: MOST_BODIES_TAKEN,
   });
+  // Kept apart, so that large bodies never take the room of small ones.
+  const queued = createByteHold(budget);
+  const inTurn = createByteHold(budget);
+  const joined = createByteHold(budget);
+  const unread = createByteHold(budget);
   let scheduled = false;
   let writing: Buffer | null = null;
   // Bytes of the queue up to the end of the piece that waits there.
@@ -70,6 +81,7 @@
     queue.clear();
     outbox.clear();
     inbox.clear();
+    for (const hold of [queued, inTurn, joined, unread]) hold.resize(0);
     writeBlockedSince = null;
     windowBlockedSince = null;
     onClose(reason);
@@ -81,14 +93,25 @@
     else if (message[0] === "piece" && sendsPieces) takePiece(message);
     else if (message[0] === "piece-read") acknowledge(message);
     else onMessage(message);
+  }, (bytes) => {
+    // Pieces and smaller messages come and go with each read.
+    if (closed || unread.resize(bytes > WRITE_BYTES ? bytes : 0)) return true;
+    close("no room");
+    return false;
   });
   const takePiece = (
     [, stream, total, piece]: Extract<Message, { 0: "piece" }>,
   ) => {
     const bytes = piece instanceof Uint8Array ? piece.length : 0;
-    if (bytes === 0 || expects(stream) && !inbox.add(stream, total, piece)) {
+    const isExpected = expects(stream);
+    if (bytes === 0 || isExpected && !inbox.add(stream, total, piece)) {
       close("malformed body");
-    } else link.send(["piece-read", bytes]);
+      return;
+    }
+    link.send(["piece-read", bytes]);
+    if (!isExpected || joined.resize(inbox.size())) return;
+    link.dropBody(stream);
+    onRefused(stream);
   };
   const acknowledge = ([, bytes]: Extract<Message, { 0: "piece-read" }>) => {
     if (!Number.isInteger(bytes)) {
@@ -114,6 +137,7 @@
     if (message === null) windowBlockedSince ??= steadyTime();
     else {
       enqueue(message);
+      inTurn.resize(outbox.size());
       bytesToPiece = queue.size();
     }
   };
@@ -132,6 +156,7 @@
     writing = bytes;
     socket.write(bytes, () => {
       writing = null;
+      if (!closed) queued.resize(queue.size());
       if (writeBlockedSince !== null) link.aliveAt = steadyTime();
       writeBlockedSince = null;
       flush();
@@ -142,7 +167,21 @@
     });
   };
   const unsentBytes = () => queue.size() + (writing?.length ?? 0);
-  const inPieces = (bytes: number) => sendsPieces && bytes > PIECE_BYTES;
+  /** Queues a body where it fits into the bounds of this link and of all. */
+  const queueBody: Link["sendBody"] = (stream, body, toMessage) => {
+    const bytes = body.length;
+    const inPieces = sendsPieces && bytes > PIECE_BYTES;
+    const unsent = unsentBytes() + (inPieces ? outbox.size() : 0);
+    if (bytes > 0 && unsent > MAX_UNSENT_BYTES) return false;
+    if (inPieces) {
+      if (!inTurn.resize(outbox.size() + bytes)) return false;
+      outbox.add(stream, body, toMessage);
+    } else {
+      if (bytes > 0 && !queued.resize(unsentBytes() + bytes)) return false;
+      enqueue(toMessage(body));
+    }
+    return true;
+  };
   const link: Link = {
     aliveAt: steadyTime(),
     send(message) {
@@ -151,24 +190,28 @@
       schedule();
     },
     sendBody(stream, body, toMessage) {
-      if (closed) return;
-      if (inPieces(body.length)) outbox.add(stream, body, toMessage);
-      else enqueue(toMessage(body));
+      if (closed) return true;
+      const fits = queueBody(stream, body, toMessage);
       schedule();
+      return fits;
     },
     cancelBody(stream) {
       const cancelled = outbox.cancel(stream);
+      inTurn.resize(outbox.size());
       if (outbox.size() === 0) windowBlockedSince = null;
       return cancelled;
     },
     takeBody(stream, last, total) {
-      if (total !== undefined) return inbox.finish(stream, last, total);
+      if (total !== undefined) {
+        const body = inbox.finish(stream, last, total);
+        joined.resize(inbox.size());
+        return body;
+      }
       return Buffer.from(last.buffer, last.byteOffset, last.byteLength);
     },
-    dropBody: inbox.drop,
-    hasRoom(bytes) {
-      const inTurn = inPieces(bytes) ? outbox.size() : 0;
-      return unsentBytes() + inTurn <= MAX_UNSENT_BYTES;
+    dropBody(stream) {
+      inbox.drop(stream);
+      joined.resize(inbox.size());
     },
     idle: () => unsentBytes() + outbox.size() === 0,
     receive(chunk) {
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -1,3 +1,4 @@
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Random } from "../core/random.ts";
 import { createServer } from "node:net";
 import type { Logger } from "../core/logger.ts";
@@ -42,6 +43,7 @@
     self,
     steadyTime,
     log,
+    budget,
     serve,
     configuration,
     onConfig,
@@ -55,6 +57,8 @@
     self: () => Entry;
     steadyTime: () => number;
     log: Logger;
+    /** Account of what all links hold of unfinished and unsent bodies. */
+    budget: ByteBudget;
     serve: Serve;
     /** The configuration in force, as the operator wrote it. */
     configuration: () => { version: number; bytes: Uint8Array } | null;
@@ -91,6 +95,7 @@
     openPeerLink(peer, {
       steadyTime,
       log,
+      budget,
       hello: self,
       onConfig,
       onDeparted,
@@ -121,6 +126,7 @@
     accepted.add(acceptLink(socket, {
       steadyTime,
       log,
+      budget,
       entry: self,
       serve,
       onConfig,
@@ -192,7 +198,18 @@
       }
       const stream = nextStream++;
       peer.calls.set(stream, { onOutcome, onSilence });
-      if (request.body.length > 0 && !link.hasRoom(request.body.length)) {
+      const head = writeCallHead(request);
+      const remainingMs = () =>
+        Math.max(0, Math.floor(request.expiresAt - steadyTime()));
+      const fits = link.sendBody(stream, request.body, (bytes, ...total) => [
+        "request",
+        stream,
+        head,
+        remainingMs(),
+        bytes,
+        ...total,
+      ]);
+      if (!fits) {
         // The caller gets the function that cancels before the outcome.
         queueMicrotask(() => {
           if (!peer.calls.delete(stream)) return;
@@ -204,17 +221,6 @@
         return () => peer.calls.delete(stream);
       }
       peer.sentSince++;
-      const head = writeCallHead(request);
-      const remainingMs = () =>
-        Math.max(0, Math.floor(request.expiresAt - steadyTime()));
-      link.sendBody(stream, request.body, (bytes, ...total) => [
-        "request",
-        stream,
-        head,
-        remainingMs(),
-        bytes,
-        ...total,
-      ]);
       return () => {
         if (!peer.calls.delete(stream)) return;
         link.cancelBody(stream);
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -7,9 +7,10 @@
   send(message: Message): void;
   /**
    * Sends a body of a stream, in pieces where it is large. `toMessage` makes
-   * the message that carries it or ends it.
+   * the message that carries it or ends it. Returns false where there is no
+   * room for the body, of which nothing is sent then.
    */
-  sendBody(stream: number, body: Buffer, toMessage: BodyMessage): void;
+  sendBody(stream: number, body: Buffer, toMessage: BodyMessage): boolean;
   /** Sends nothing more of a body; returns whether a part was unsent. */
   cancelBody(stream: number): boolean;
   /**
@@ -19,8 +20,6 @@
   takeBody(stream: number, last: Uint8Array, total?: number): Buffer | null;
   /** Forgets the pieces that have come of a body. */
   dropBody(stream: number): void;
-  /** Whether the unsent bytes leave room for another body of this size. */
-  hasRoom(bytes: number): boolean;
   /** Whether nothing waits to be sent. */
   idle(): boolean;
   /** Takes the next bytes of the connection. */
--- a/src/mesh/mesh_test_fixture.ts
+++ b/src/mesh/mesh_test_fixture.ts
@@ -3,6 +3,7 @@
 import process from "node:process";
 import { until } from "../../test/until.ts";
 import type { CallRequest } from "../calls/call_request.ts";
+import { createByteBudget } from "../core/create_byte_budget.ts";
 import type { Mesh } from "./mesh.ts";
 import { createMesh } from "./create_mesh.ts";
 import { createFrameReader } from "./create_frame_reader.ts";
@@ -51,6 +52,7 @@
       self: () => ({ ...meshTestFixture.entry(host), takesPieces: true }),
       steadyTime: () => clock.now,
       log: (event, fields) => lines.push({ event, ...fields } as Line),
+      budget: createByteBudget(Infinity),
       serve: () => () => {},
       configuration: () => null,
       onConfig: () => {},
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -1,6 +1,7 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import { RouteReport } from "../calls/route_report.ts";
 import { connectWithBuffer } from "../core/connect_with_buffer.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import { createLink } from "./create_link.ts";
 import { Entry } from "./entry.ts";
@@ -16,6 +17,8 @@
 type Handlers = {
   steadyTime: () => number;
   log: Logger;
+  /** Account of what all links hold of bodies. */
+  budget: ByteBudget;
   hello: () => Entry;
   onEntry: (peer: Peer) => void;
   onLost: () => void;
@@ -27,7 +30,7 @@
 
 /** Connects to a peer; its calls fail as unknown when the link is lost. */
 export function openPeerLink(peer: Peer, handlers: Handlers): void {
-  const { steadyTime, log, hello, onLost } = handlers;
+  const { steadyTime, log, budget, hello, onLost } = handlers;
   const [host, port] = peer.address.split(":") as [string, string];
   peer.connecting = true;
   const socket = connectWithBuffer(
@@ -41,7 +44,13 @@
   let open = false;
   const link = createLink(socket, {
     steadyTime,
+    budget,
     expects: (stream) => peer.calls.has(stream),
+    onRefused(stream) {
+      link.send(["cancel", stream]);
+      const outcome = { kind: "unknown", reason: "no-room" } as const;
+      settle(peer, stream, peer.load, outcome, null);
+    },
     onMessage: (message) => receive(peer, message, handlers),
     onClose(reason) {
       clearTimeout(timer);
--- a/src/mesh/unread_link_test.ts
+++ b/src/mesh/unread_link_test.ts
@@ -91,8 +91,9 @@
 test("a call that found no room can be cancelled", async (t) => {
   const { mesh, peer, socket } = await linked();
   socket.pause();
-  while (peer.link!.hasRoom(MB)) {
-    mesh.call(peer, request(4 * MB), () => {}, () => {});
+  let full = false;
+  while (!full) {
+    mesh.call(peer, request(4 * MB), () => full = true, () => {});
     await new Promise((resolve) => setImmediate(resolve));
   }
   mesh.call(peer, request(MB), () => t.fail(), () => t.fail())();
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -1,5 +1,6 @@
 import { createBackend } from "../backend/create_backend.ts";
 import { createServer } from "node:net";
+import { createByteBudget } from "../core/create_byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import type { Random } from "../core/random.ts";
 import { createCallGraph } from "../costs/create_call_graph.ts";
@@ -49,6 +50,10 @@
 // A departure that the store doesn't take in time is acknowledged all the
 // same: this process keeps to it as long as it lives.
 const DEPARTURE_WRITE_MS = 800;
+// What all links to other daemons hold of bodies: a quarter of the memory of the
+// smallest VM's daemon (250 MB), of which the runtime takes about half.
+const LINK_BODIES_BYTES = 60 * 1024 * 1024;
+
 /** Starts a daemon beside a backend server. */
 export function startSidecar(
   { settings, adapter, log, random, steadyTime }: {
@@ -147,6 +152,7 @@
     self,
     steadyTime,
     log,
+    budget: createByteBudget(LINK_BODIES_BYTES),
     configuration: () => configuration,
     onConfig(version, bytes) {
       if (version > (configuration?.version ?? 0)) take(bytes, "peer");
