Write queued frames without a copy of their list

Writes in slices took the queue apart and made two functions for each write, also where all of it went out at once.

--- a/src/mesh/create_byte_queue.ts
+++ b/src/mesh/create_byte_queue.ts
@@ -10,6 +10,12 @@
       size += bytes.length;
     },
     take(maxBytes) {
+      if (size <= maxBytes) {
+        const all = join(parts, size);
+        parts = [];
+        size = 0;
+        return all;
+      }
       let taken = 0;
       let count = 0;
       while (count < parts.length && taken < maxBytes) {
@@ -24,8 +30,7 @@
         taken = maxBytes;
       }
       size -= taken;
-      // One write of joined frames costs less than a vector of small ones.
-      return first.length === 1 ? first[0]! : Buffer.concat(first, taken);
+      return join(first, taken);
     },
     size: () => size,
     clear() {
@@ -34,3 +39,8 @@
     },
   };
 }
+
+/** One write of joined frames costs less than a vector of small ones. */
+function join(parts: Buffer[], bytes: number): Buffer {
+  return parts.length === 1 ? parts[0]! : Buffer.concat(parts, bytes);
+}
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -154,17 +154,19 @@
     const bytes = queue.take(WRITE_BYTES);
     bytesToPiece = Math.max(0, bytesToPiece - bytes.length);
     writing = bytes;
-    socket.write(bytes, () => {
-      writing = null;
-      if (!closed) queued.resize(queue.size());
-      if (writeBlockedSince !== null) link.aliveAt = steadyTime();
-      writeBlockedSince = null;
-      flush();
-    });
+    socket.write(bytes, endWrite);
     // A write that the kernel took whole has ended by then.
-    process.nextTick(() => {
-      if (!closed && writing === bytes) writeBlockedSince = steadyTime();
-    });
+    process.nextTick(noteBlockedWrite, bytes);
+  };
+  const endWrite = () => {
+    writing = null;
+    if (!closed) queued.resize(queue.size());
+    if (writeBlockedSince !== null) link.aliveAt = steadyTime();
+    writeBlockedSince = null;
+    flush();
+  };
+  const noteBlockedWrite = (bytes: Buffer) => {
+    if (!closed && writing === bytes) writeBlockedSince = steadyTime();
   };
   const unsentBytes = () => queue.size() + (writing?.length ?? 0);
   /** Queues a body where it fits into the bounds of this link and of all. */
