Give each process of the link tests addresses of its own

Two checkouts that run the same files at once have the same loopback addresses: done on purpose, eight tests of one of the two failed, those with `EADDRINUSE`.

--- a/src/mesh/introduction_test.ts
+++ b/src/mesh/introduction_test.ts
@@ -8,7 +8,7 @@
 // A mesh listens until its process ends.
 registerCompletionHandler(() => process.exit());
 
-const { connect, entry, nextHost, start } = meshTestFixture;
+const { connect, entry, nextHost, port, start } = meshTestFixture;
 
 // A connection that never said who it is could make a daemon hold 72 MB.
 test("an unintroduced link that sends a large frame is closed", async (t) => {
@@ -72,11 +72,11 @@
 test("an opened link that isn't introduced in time is closed", async (t) => {
   const host = nextHost();
   const other = nextHost();
-  const server = createServer().listen(7620, other);
+  const server = createServer().listen(port, other);
   await once(server, "listening");
   const { mesh, lines, pass } = start(host);
-  mesh.meet(`${other}:7620`);
-  const peer = mesh.peers.get(`${other}:7620`)!;
+  mesh.meet(`${other}:${port}`);
+  const peer = mesh.peers.get(`${other}:${port}`)!;
   await until("connected", () => peer.link !== null);
   pass(3_200);
   t.true(
--- a/src/mesh/mesh_test_fixture.ts
+++ b/src/mesh/mesh_test_fixture.ts
@@ -16,9 +16,15 @@
 /** One line of a mesh's log. */
 type Line = { event: string; from?: string; reason?: string };
 
+// Test files run at once, also those of several checkouts: each process has a
+// port and loopback addresses of its own.
+const PORT = 10_000 + process.pid % 20_000;
+
 /** Meshes on loopback addresses and bare connections to them. */
 export const meshTestFixture = {
-  /** A loopback address that no other test of this process has. */
+  port: PORT,
+
+  /** A loopback address that no other test has. */
   nextHost: () =>
     `127.${140 + process.pid % 100}.${process.pid % 250}.${++hosts}`,
 
@@ -130,7 +136,6 @@
   },
 };
 
-const PORT = 7620;
 let hosts = 0;
 const TICK_MS = 100;
 const LENGTH_BYTES = 4;
