--- a/src/calls/call_outcome.ts
+++ b/src/calls/call_outcome.ts
@@ -29,7 +29,8 @@
   | "no-server"
   | "other-server"
   | "server-rejected"
-  | "connect-failed";
+  | "connect-failed"
+  | "no-room";
 
 type UnknownReason =
   | "connection-lost"
@@ -40,4 +41,5 @@
   | "no-room"
   | "unsigned-response"
   | "link-lost"
+  | "no-room"
   | "expired";
--- a/src/mesh/create_frame_reader.ts
+++ b/src/mesh/create_frame_reader.ts
@@ -3,11 +3,14 @@
 
 /**
  * Splits a stream into frames, each behind its length in four bytes. The
- * returned function is false once a frame exceeds `maxBytes`.
+ * returned function is false once a frame exceeds `maxBytes`, which is asked for
+ * each frame anew, or may not be held.
  */
 export function createFrameReader(
-  maxBytes: number,
+  maxBytes: () => number,
   onFrame: (frame: Buffer) => void,
+  /** Whether so many bytes of an unfinished frame may be held. */
+  mayHold: (bytes: number) => boolean = () => true,
 ): (chunk: Buffer) => boolean {
   let buffer: Buffer = EMPTY;
   // Chunks are joined only once a frame is whole, so that a large frame isn't
@@ -18,12 +21,12 @@
   return (chunk) => {
     parts.push(chunk);
     held += chunk.length;
-    if (held < wanted) return true;
+    if (held < wanted) return mayHold(held);
     buffer = parts.length === 1 ? chunk : Buffer.concat(parts, held);
     let at = 0;
     while (buffer.length - at >= LENGTH_BYTES) {
       const bytes = buffer.readUInt32BE(at);
-      if (bytes > maxBytes) return false;
+      if (bytes > maxBytes()) return false;
       wanted = LENGTH_BYTES + bytes;
       if (buffer.length - at < wanted) break;
       onFrame(buffer.subarray(at + LENGTH_BYTES, at + wanted));
@@ -33,6 +36,6 @@
     buffer = buffer.subarray(at);
     parts = buffer.length === 0 ? [] : [buffer];
     held = buffer.length;
-    return true;
+    return mayHold(held);
   };
 }
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -1,3 +1,4 @@
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Random } from "../core/random.ts";
 import { createServer } from "node:net";
 import type { Logger } from "../core/logger.ts";
@@ -5,6 +6,7 @@
 import { acceptLink } from "./accept_link.ts";
 import { createPeer } from "./create_peer.ts";
 import type { Entry } from "./entry.ts";
+import type { Link } from "./link.ts";
 import { indexPeers } from "./index_peers.ts";
 import { isReportDue } from "./is_report_due.ts";
 import type { Mesh } from "./mesh.ts";
@@ -19,6 +21,12 @@
 const SILENCE_MS = 1_500;
 // A link that owes an answer to a ping for this long gets no new calls.
 const SUSPECT_MS = 400;
+// The first message goes out with the connection; the rest is room for a daemon
+// that starts and is short of processor time.
+const INTRODUCTION_MS = 3_000;
+// As long as a silent link: one that takes no bytes is as good as cut, also
+// where some still come from it.
+const BLOCKED_MS = SILENCE_MS;
 // A gap between two ticks above this means that this process stood still; the
 // links had no chance to show life.
 const PAUSE_MS = 1_000;
@@ -37,6 +45,7 @@
     steadyTime,
     log,
     metrics,
+    budget,
     serve,
     configuration,
     onConfig,
@@ -51,6 +60,8 @@
     steadyTime: () => number;
     log: Logger;
     metrics: Metrics;
+    /** Account of what all links hold of unfinished and unsent bodies. */
+    budget: ByteBudget;
     serve: Serve;
     /** The configuration in force, as the operator wrote it. */
     configuration: () => { version: number; bytes: Uint8Array } | null;
@@ -71,7 +82,7 @@
   let nextStream = 0;
   let tickedAt = steadyTime();
 
-  const handOver = (link: Accepted["link"], version: number) => {
+  const handOver = (link: Link, version: number) => {
     const current = configuration();
     if (current !== null && current.version > version) {
       link.send(["config", current.version, current.bytes]);
@@ -88,6 +99,7 @@
       steadyTime,
       log,
       metrics,
+      budget,
       hello: self,
       onConfig,
       onDeparted,
@@ -113,14 +125,24 @@
   };
 
   const server = createServer((socket) => {
+    // A closed socket no longer tells it.
+    const from = socket.remoteAddress;
     accepted.add(acceptLink(socket, {
       steadyTime,
       log,
+      budget,
       entry: self,
       serve,
       onConfig,
       onConfigWanted: handOver,
-      onClose: (link) => accepted.delete(link),
+      onClose(closed, reason) {
+        accepted.delete(closed);
+        log("link-closed", {
+          from,
+          peer: closed.entry?.name,
+          reason,
+        });
+      },
       onHello({ link }, entry) {
         if (entry.alone) link.send(["peers", [...peers.keys()]]);
         handOver(link, entry.routeVersion);
@@ -180,22 +202,53 @@
       }
       const stream = nextStream++;
       peer.calls.set(stream, { onOutcome, onSilence });
-      peer.sentSince++;
-      const remainingMs = Math.max(
-        0,
-        Math.floor(request.expiresAt - steadyTime()),
-      );
       const head = writeCallHead(request);
-      link.send(["request", stream, head, remainingMs, request.body]);
+      const remainingMs = () =>
+        Math.max(0, Math.floor(request.expiresAt - steadyTime()));
+      const fits = link.sendBody(stream, request.body, (bytes, ...total) => [
+        "request",
+        stream,
+        head,
+        remainingMs(),
+        bytes,
+        ...total,
+      ]);
+      if (!fits) {
+        // The caller gets the function that cancels before the outcome.
+        queueMicrotask(() => {
+          if (!peer.calls.delete(stream)) return;
+          onOutcome(
+            { kind: "not-run", reason: "no-room", arrived: false },
+            null,
+          );
+        });
+        return () => peer.calls.delete(stream);
+      }
+      peer.sentSince++;
       return () => {
-        if (peer.calls.delete(stream)) link.send(["cancel", stream]);
+        if (!peer.calls.delete(stream)) return;
+        link.cancelBody(stream);
+        link.dropBody(stream);
+        link.send(["cancel", stream]);
       };
     },
+    idle: () =>
+      [...accepted, ...peers.values()].every(({ link }) =>
+        link === null || link.idle()
+      ),
     tick() {
       const now = steadyTime();
       const paused = now - tickedAt > PAUSE_MS;
       tickedAt = now;
+      for (const { entry, openedAt, link } of [...accepted]) {
+        closeBlocked(link, now, paused);
+        if (entry === null && !paused) closeUnintroduced(link, openedAt, now);
+      }
       for (const peer of peers.values()) {
+        if (peer.link !== null) closeBlocked(peer.link, now, paused);
+        if (peer.link !== null && peer.entry === null && !paused) {
+          closeUnintroduced(peer.link, peer.openedAt, now);
+        }
         if (peer.link !== null) {
           const quietMs = quietLimit(peer.calls.size, peers.size);
           if (!checkLink(peer, { now, paused, quietMs })) onSilence();
@@ -209,13 +262,25 @@
   };
 }
 
+/** Closes a link whose other side should have said by now who it is. */
+function closeUnintroduced(link: Link, openedAt: number, now: number): void {
+  if (now - openedAt > INTRODUCTION_MS) link.close("not introduced");
+}
+
+/** Closes a link whose other side reads nothing. */
+function closeBlocked(link: Link, now: number, paused: boolean): void {
+  if (paused) link.excuse();
+  const since = link.blockedSince();
+  if (since !== null && now - since > BLOCKED_MS) link.close("not read");
+}
+
 /** Pings a quiet link; closes one that doesn't answer and returns false. */
 function checkLink(
   peer: Peer,
   { now, paused, quietMs }: { now: number; paused: boolean; quietMs: number },
 ): boolean {
   const link = peer.link!;
-  if (peer.pingedAt !== null && link.receivedAt > peer.pingedAt) {
+  if (peer.pingedAt !== null && link.aliveAt > peer.pingedAt) {
     peer.pingedAt = null;
   }
   if (paused) peer.pingedAt = null;
@@ -226,10 +291,10 @@
       for (const { onSilence } of [...peer.calls.values()]) onSilence();
     }
     if (now - peer.pingedAt <= SILENCE_MS) return true;
-    link.close();
+    link.close("silent");
     return false;
   }
-  if (now - link.receivedAt > quietMs) {
+  if (now - link.aliveAt > quietMs) {
     peer.pingedAt = now;
     link.send(["ping"]);
   }
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -1,6 +1,7 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
 import { RouteReport } from "../calls/route_report.ts";
 import { connectWithBuffer } from "../core/connect_with_buffer.ts";
+import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import { count } from "../metrics/count.ts";
 import type { Metrics } from "../metrics/metrics.ts";
@@ -13,11 +14,14 @@
 // sent again after one second.
 const CONNECT_TIMEOUT_MS = 1_200;
 const RETRY_MS = 500;
+const NO_BODY = Buffer.alloc(0);
 
 type Handlers = {
   steadyTime: () => number;
   log: Logger;
   metrics: Metrics;
+  /** Account of what all links hold of bodies. */
+  budget: ByteBudget;
   hello: () => Entry;
   onEntry: (peer: Peer) => void;
   onLost: () => void;
@@ -29,7 +33,7 @@
 
 /** Connects to a peer; its calls fail as unknown when the link is lost. */
 export function openPeerLink(peer: Peer, handlers: Handlers): void {
-  const { steadyTime, log, metrics, hello, onLost } = handlers;
+  const { steadyTime, log, metrics, budget, hello, onLost } = handlers;
   const [host, port] = peer.address.split(":") as [string, string];
   peer.connecting = true;
   const socket = connectWithBuffer(
@@ -46,6 +50,13 @@
   let open = false;
   const link = createLink(socket, {
     steadyTime,
+    budget,
+    expects: (stream) => peer.calls.has(stream),
+    onRefused(stream) {
+      link.send(["cancel", stream]);
+      const outcome = { kind: "unknown", reason: "no-room" } as const;
+      settle(peer, stream, peer.load, outcome, null);
+    },
     onMessage: (message) => receive(peer, message, handlers),
     onClose({ kind, reason }) {
       clearTimeout(timer);
@@ -81,7 +92,8 @@
     open = true;
     peer.connecting = false;
     peer.link = link;
-    link.receivedAt = steadyTime();
+    link.aliveAt = steadyTime();
+    peer.openedAt = link.aliveAt;
     link.send(["hello", hello()]);
   });
 }
@@ -113,6 +125,7 @@
     }
     const first = peer.entry === null;
     peer.entry = parsed.data;
+    peer.link!.trust(parsed.data);
     noteDeparture(peer, parsed.data.server);
     if (first) {
       log("peer-found", { peer: parsed.data.name, address: peer.address });
@@ -135,12 +148,18 @@
     peer.runMs = runMs;
     peer.sentSince = 0;
   },
-  answered(peer, [, stream, status, fields, body, load, route]) {
+  answered(peer, [, stream, status, fields, last, load, route, total]) {
+    const body = peer.link!.takeBody(stream, last, total);
+    // The pieces of an answer to a cancelled call aren't kept.
+    if (body === null && peer.calls.has(stream)) {
+      peer.link!.reject("malformed body");
+      return;
+    }
     settle(peer, stream, load, {
       kind: "answered",
       status,
       fields,
-      body: asBuffer(body),
+      body: body ?? NO_BODY,
     }, readRoute(route));
   },
   "not-run"(peer, [, stream, reason, waitMs, arrived, load]) {
@@ -179,6 +198,8 @@
   // The outcome of a cancelled call can cross its cancellation.
   if (call === undefined) return;
   peer.calls.delete(stream);
+  // Its outcome can come before its whole body was sent.
+  if (peer.link!.cancelBody(stream)) peer.link!.send(["cancel", stream]);
   call.onOutcome(outcome, { load, route });
 }
 
@@ -188,7 +209,3 @@
   const parsed = RouteReport.safeParse(input);
   return parsed.success ? parsed.data : null;
 }
-
-function asBuffer(bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -56,6 +56,8 @@
 // memory. Each can be copied into a frame and lie in a queue at the same time,
 // and the runtime takes about half of the memory.
 const BODIES_SHARE = 1 / 8;
+// What all links to other daemons hold of bodies may take this share besides.
+const LINK_BODIES_SHARE = 1 / 5;
 
 /** Starts a daemon beside a backend server. */
 export function startSidecar(
@@ -112,6 +114,7 @@
       service,
       routeVersion: configuration?.version ?? 0,
       storeReachable: watch.storeReachable(),
+      takesPieces: true,
       alone: mesh.peers.size === 0,
       server: server === null ? null : {
         id: server.id,
@@ -165,6 +168,9 @@
     steadyTime,
     log,
     metrics,
+    budget: createByteBudget(
+      Math.floor(settings.memoryBytes * LINK_BODIES_SHARE),
+    ),
     configuration: () => configuration,
     onConfig(version, bytes) {
       if (version > (configuration?.version ?? 0)) take(bytes, "peer");
@@ -269,6 +275,7 @@
       log,
       origin,
       backend,
+      mesh,
       connections,
       othersServe: () => (mesh.index().serving.get(service) ?? []).length > 0,
       leave() {
--- a/src/sidecar/stop_in_order.ts
+++ b/src/sidecar/stop_in_order.ts
@@ -1,6 +1,7 @@
 import type { Backend } from "../backend/backend.ts";
 import type { Logger } from "../core/logger.ts";
 import type { ClientConnections } from "../edge/client_connections.ts";
+import type { Mesh } from "../mesh/mesh.ts";
 import type { Origin } from "../origin/origin.ts";
 import { delay } from "./delay.ts";
 import { isLeaveDue } from "./is_leave_due.ts";
@@ -22,6 +23,7 @@
     log,
     origin,
     backend,
+    mesh,
     connections,
     othersServe,
     leave,
@@ -33,6 +35,7 @@
     log: Logger;
     origin: Origin;
     backend: Backend;
+    mesh: Pick<Mesh, "idle">;
     connections: ClientConnections;
     /** Whether other servers of the own service are in use. */
     othersServe: () => boolean;
@@ -54,7 +57,8 @@
   const isIdle = () => {
     const { clients, nested } = origin.open();
     const { running, waiting } = backend.work();
-    return clients + nested + running + waiting + connections.unsent() === 0;
+    const open = clients + nested + running + waiting + connections.unsent();
+    return open === 0 && mesh.idle();
   };
 
   report("stopping");
--- a/test/with_site.ts
+++ b/test/with_site.ts
@@ -5,7 +5,7 @@
 
 type Options = Pick<
   Parameters<typeof startSite>[0],
-  "net" | "vms" | "nodeArguments"
+  "net" | "vms" | "nodeArguments" | "meshHost"
 >;
 
 /** Runs a site until all its VMs serve all services, then `run`. */
