Keep what cancels a request where a server refuses it at once

Where the own server refused a request at once, the next attempt had begun before the first one returned, and what cancels it was overwritten by what cancels the first. A client that left, or the end of a request's time, then cancelled nothing: the server behind the second attempt worked on. Found by reading; the refusals of a stopping daemon's own server take this way. Test: 'a request isn't cancelled where a server refused it at once' fails before.

--- /dev/null
+++ b/src/origin/cancel_test.ts
@@ -0,0 +1,75 @@
+import test from "ava";
+import { createCallGraph } from "../costs/create_call_graph.ts";
+import { createMetrics } from "../metrics/create_metrics.ts";
+import { putInForce } from "../routes/put_in_force.ts";
+import { createAdmission } from "./create_admission.ts";
+import { createOrigin } from "./create_origin.ts";
+import { createRetryBudget } from "./create_retry_budget.ts";
+
+const random = () => 0.5;
+const candidate = (address: string) => ({
+  address,
+  serverId: address,
+  dataCentre: "a",
+  load: 0,
+  runMs: 1,
+  failing: 0,
+});
+
+// The own server's refusal, which comes at once, hid the attempt behind it from
+// the client that left: the server worked on.
+test("a request isn't cancelled where a server refused it at once", (t) => {
+  const sent: string[] = [];
+  let cancelled = 0;
+  const inForce = putInForce(null, {
+    version: 1,
+    services: new Map(),
+    limits: { headBytes: 1, bodyBytes: 1, headTimeoutMs: 1, idleTimeoutMs: 1 },
+    routes: [{
+      name: "r",
+      host: "h",
+      prefix: "/",
+      parts: [{ service: "s", weight: 1 }],
+      rank: 0,
+      repeatable: true,
+      targetLatencyMs: 100,
+      timeoutMs: 1_000,
+      maxAttempts: 2,
+    }],
+  }, random)!;
+  const origin = createOrigin({
+    caller: "s",
+    dataCentre: "a",
+    routes: () => inForce,
+    callerOf: () => null,
+    forwarder: {
+      candidates: () => [candidate("own"), candidate("other")],
+      send({ address }, _request, onOutcome) {
+        sent.push(address);
+        if (sent.length > 1) return () => cancelled++;
+        onOutcome({ kind: "not-run", reason: "leaving", arrived: false }, null);
+        return () => {};
+      },
+    },
+    graph: createCallGraph("s", 0),
+    admission: createAdmission(0),
+    budget: createRetryBudget({ ratio: 0.2, slack: 10 }, 1),
+    loads: () => new Map(),
+    random,
+    steadyTime: () => 0,
+    log: () => {},
+    metrics: createMetrics(),
+  });
+  const cancel = origin.start({
+    id: "q",
+    host: "h",
+    method: "GET",
+    target: "/",
+    fields: [],
+    body: Buffer.alloc(0),
+    deadlineMs: 1_000,
+  }, () => t.fail());
+  t.is(sent.length, 2);
+  cancel();
+  t.is(cancelled, 1);
+});
--- a/src/origin/create_origin.ts
+++ b/src/origin/create_origin.ts
@@ -164,7 +164,8 @@
     }
     call.target = target;
     call.attempts++;
-    call.cancel = forwarder.send(target, {
+    let settled = false;
+    const cancel = forwarder.send(target, {
       id: request.id,
       method: request.method,
       target: request.target,
@@ -179,6 +180,7 @@
       repeated: call.arrived ? 1 : call.inherited,
       expiresAt: Math.min(call.expiresAt, runsEndAt),
     }, (outcome, report) => {
+      settled = true;
       if (!open.has(call)) return;
       learn(call, report);
       call.arrived ||= outcome.kind !== "not-run" || outcome.arrived;
@@ -196,6 +198,8 @@
       call.cancel();
       retry(call);
     });
+    // An outcome that came at once has led to the next attempt already.
+    if (!settled) call.cancel = cancel;
   };
 
   const learn = ({ route }: OpenCall, report: CallReport | null) => {
