Wait for what a client test expects rather than for 50 ms

They now wait until the requests have started, or the cancellation or release is there; what is compared is the same. Waits for what must not happen stay.

--- a/src/edge/client_connections_test.ts
+++ b/src/edge/client_connections_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import { until } from "../../test/until.ts";
 import { createByteBudget } from "../core/create_byte_budget.ts";
 import type { OriginRequest } from "../origin/origin_request.ts";
 import type { Reply } from "../origin/reply.ts";
@@ -83,6 +84,8 @@
     text: () => text,
     accepted: () => accepted!,
     pass: (ms: number) => now += ms,
+    /** Waits until so many requests have started. */
+    begun: (count: number) => until("started", () => started.length >= count),
   };
 }
 
@@ -100,31 +103,31 @@
 };
 
 test("replies keep the order of the requests", async (t) => {
-  const { client, started, server, text } = await open();
+  const { client, started, server, text, begun } = await open();
   client.write(request("/a") + request("/b") + request("/c"));
-  await settled();
+  await begun(3);
   for (const at of [2, 0, 1]) started[at]!.reply(answer);
-  await settled();
+  await until("answered", () => text().includes("/c"));
   t.is(text(), "/a answer\n/b answer\n/c answer\n");
   client.destroy();
   server.close();
 });
 
 test("a client that leaves cancels its requests", async (t) => {
-  const { client, started, server } = await open();
+  const { client, started, server, begun } = await open();
   client.write(request("/a") + request("/b"));
-  await settled();
+  await begun(2);
   started[0]!.reply(answer);
   client.destroy();
-  await settled();
+  await until("cancelled", () => started.some(({ cancelled }) => cancelled));
   t.deepEqual(started.map(({ cancelled }) => cancelled), [false, true]);
   server.close();
 });
 
 test("while draining, the last reply closes the connection", async (t) => {
-  const { client, connections, started, server, text } = await open();
+  const { client, connections, started, server, text, begun } = await open();
   client.write(request("/a") + request("/b"));
-  await settled();
+  await begun(2);
   connections.drain();
   started[0]!.reply(answer);
   started[1]!.reply(answer);
@@ -158,9 +161,9 @@
 });
 
 test("bytes that are no request are answered behind the replies owed", async (t) => {
-  const { client, started, server, text } = await open();
+  const { client, started, server, text, begun } = await open();
   client.write(`${request("/a")}no request\r\n\r\n${request("/b")}`);
-  await settled();
+  await begun(1);
   t.is(started.length, 1);
   t.is(text(), "");
   started[0]!.reply(answer);
@@ -228,15 +231,15 @@
 
 test("a whole request that finds no room is refused, the next is served", async (t) => {
   const budget = createByteBudget(1_200);
-  const { client, started, server, text } = await open(budget);
+  const { client, started, server, text, begun } = await open(budget);
   client.write(withBody("/a", 600));
-  await settled();
+  await begun(1);
   client.write(withBody("/b", 590) + request("/c"));
-  await settled();
+  await begun(2);
   t.deepEqual(started.map(({ request }) => request.target), ["/a", "/c"]);
   started[1]!.reply(answer);
   started[0]!.reply(answer);
-  await settled();
+  await until("answered", () => text().includes("/c"));
   t.is(text(), "/a answer\n/b refusal\n/c answer\n");
   t.is(budget.held(), 0);
   client.destroy();
@@ -260,10 +263,10 @@
   // More than the buffers of a connection take.
   const bytes = 30_000_000;
   const budget = createByteBudget(2 * bytes);
-  const { client, started, server, text } = await open(budget);
+  const { client, started, server, text, begun } = await open(budget);
   client.pause();
   client.write(request("/a") + request("/b"));
-  await settled();
+  await begun(2);
   for (const { reply } of started) {
     reply({ ...answer, body: Buffer.alloc(bytes, "a") });
   }
@@ -281,10 +284,10 @@
 test("a slow reader's reply is cut off where the connection closes", async (t) => {
   const bytes = 30_000_000;
   const opened = await open(createByteBudget(2 * bytes));
-  const { client, connections, started, server, text } = opened;
+  const { client, connections, started, server, text, begun } = opened;
   client.pause();
   client.write(request("/a"));
-  await settled();
+  await begun(1);
   connections.drain();
   started[0]!.reply({ ...answer, body: Buffer.alloc(bytes, "a") });
   await settled();
@@ -301,16 +304,17 @@
 test("a client that leaves gives back what was held for it", async (t) => {
   const bytes = 30_000_000;
   const budget = createByteBudget(3 * bytes);
-  const { client, started, server } = await open(budget);
+  const { client, started, server, begun } = await open(budget);
   client.pause();
   client.write(request("/a") + withBody("/b", 900) + withBody("/c", 800));
   client.write(withBody("/d", 500).slice(0, -1));
-  await settled();
+  await begun(3);
   started[0]!.reply({ ...answer, body: Buffer.alloc(bytes) });
-  await settled();
-  t.is(budget.held(), bytes + 900 + 800 + 499);
+  const held = bytes + 900 + 800 + 499;
+  await until("held", () => budget.held() === held);
+  t.is(budget.held(), held);
   client.resetAndDestroy();
-  await settled();
+  await until("given back", () => budget.held() === 0);
   t.is(budget.held(), 0);
   server.close();
 });
