Join what the gate wrote twice

From reading the whole change: a request's two ways to be refused at the gate differed in the wait only, waiting jobs were judged twice when one was refused, and recall checked a start that depart checks. Behaviour is the same.

--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -198,7 +198,7 @@
   const noteRefusal = (
     { id, route, serverId }: CallRequest,
     reason: string,
-    waitMs = 0,
+    waitMs: number,
   ) => {
     count(metrics, "gate_refusals", { reason });
     log("call-refused", {
@@ -248,11 +248,12 @@
     },
     serve(request, onOutcome) {
       const refuse = (
-        reason: "leaving" | "no-server" | "other-server",
+        reason: Extract<CallOutcome, { kind: "not-run" }>["reason"],
+        waitMs = 0,
       ) => {
-        noteRefusal(request, reason);
+        noteRefusal(request, reason, waitMs);
         onOutcome(
-          { kind: "not-run", reason, arrived: false },
+          { kind: "not-run", reason, waitMs, arrived: false },
           { load: loadOf(gate), route: null },
         );
         return () => {};
@@ -279,13 +280,7 @@
           gate.running--;
           refuse("leaving");
         },
-        refuse(reason, waitMs) {
-          noteRefusal(request, reason, waitMs);
-          onOutcome(
-            { kind: "not-run", reason, waitMs, arrived: false },
-            { load: loadOf(gate), route: null },
-          );
-        },
+        refuse,
       };
       offerJob(gate, job, steadyTime());
       return () => {
--- a/src/backend/expire_jobs.ts
+++ b/src/backend/expire_jobs.ts
@@ -12,15 +12,15 @@
  */
 export function expireJobs(gate: Gate, now: number, runsEndAt: number): void {
   for (const flow of gate.flows.values()) {
-    const refused = flow.jobs.filter((job) =>
-      reasonToRefuse(job, now, runsEndAt) !== null
-    );
-    if (refused.length === 0) continue;
-    flow.jobs = flow.jobs.filter((job) => !refused.includes(job));
-    gate.waiting -= refused.length;
-    for (const job of refused) {
-      job.refuse(reasonToRefuse(job, now, runsEndAt)!, 0);
+    const refused = new Map<Job, "expired" | "leaving">();
+    for (const job of flow.jobs) {
+      const reason = reasonToRefuse(job, now, runsEndAt);
+      if (reason !== null) refused.set(job, reason);
     }
+    if (refused.size === 0) continue;
+    flow.jobs = flow.jobs.filter((job) => !refused.has(job));
+    gate.waiting -= refused.size;
+    for (const [job, reason] of refused) job.refuse(reason, 0);
   }
 }
 
--- a/src/backend/recall.ts
+++ b/src/backend/recall.ts
@@ -12,9 +12,6 @@
   now: number,
 ): Registration | null {
   const told = startedAt === UNKNOWN_START ? null : startedAt;
-  if (current !== null && told !== null && current.startedAt > told) {
-    return current;
-  }
   // Of another server than the present one, it says nothing new.
   if (current !== null && current.id !== id) return current;
   return depart(current, { id, startedAt: told }, now);
