Check every message and row from outside before it is used

Cause: an address with a port out of range, in a row of the store, in hello or in peers, made connect() throw where nothing catches it; so did BigInt and other odd elements of frames. One odd row hid a whole page of the store.

Change: addresses have a schema with the range of their port. Messages between daemons are tuples with a schema by kind, checked when a frame is decoded; an invalid one is logged, counted and left out, its call ends as unknown. Rows are checked one by one.

A refusal without an id is believed only as the first response of its connection, and a request isn't sent on a connection on which an earlier attempt failed: a server may repeat that refusal.

--- a/src/backend/create_backend.ts
+++ b/src/backend/create_backend.ts
@@ -152,7 +152,7 @@
     recordRunStart(graph, request.route, request.repeatedShare);
     const run: Run = {
       request,
-      connection: pool.take(),
+      connection: pool.take(request.id),
       cancelled: false,
       overdue: false,
     };
--- a/src/backend/create_connection_pool.ts
+++ b/src/backend/create_connection_pool.ts
@@ -48,9 +48,10 @@
     now - idleSince > Math.max(0, keepAliveMs - CLOSE_MARGIN_MS);
 
   return {
-    take() {
-      const connection = idle.pop();
-      if (connection === undefined) return open();
+    take(id) {
+      const index = idle.findLastIndex((connection) => connection.mayCarry(id));
+      if (index < 0) return open();
+      const [connection] = idle.splice(index, 1) as [ServerConnection];
       if (!isStale(connection, steadyTime())) return connection;
       connection.close();
       return open();
--- a/src/backend/open_server_connection.ts
+++ b/src/backend/open_server_connection.ts
@@ -17,6 +17,10 @@
 // Together with the response, these may take this many times the maximum body
 // size.
 const MAX_WIRE_FACTOR = 2;
+// A connection remembers the requests that failed on it, and isn't used again
+// once there are this many.
+const MAX_FAILED_REQUESTS = 64;
+const SERVER_ERROR = 500;
 const INTERIM = /^HTTP\/1\.1 1\d\d(?: |$)/;
 // Assumed for a server that does not announce a keep-alive timeout.
 const DEFAULT_KEEP_ALIVE_MS = 5_000;
@@ -35,6 +39,10 @@
   kind: "unknown",
   reason: "oversized-response",
 };
+const mismatched: CallOutcome = {
+  kind: "unknown",
+  reason: "mismatched-response",
+};
 
 type Exchange = {
   request: CallRequest;
@@ -66,6 +74,9 @@
   // Bytes received and responses skipped since the last request was sent.
   let wireBytes = 0;
   let skipped = 0;
+  let requests = 0;
+  // Ids of requests whose responses don't end all attempts to run them.
+  const failedRequests = new Set<string>();
   const limits = {
     headBytes: MAX_HEAD_BYTES,
     bodyBytes: Math.floor(budget.limit / 2),
@@ -119,11 +130,18 @@
     if (response.kind === "foreign") {
       reusable = false;
       if (!message.persistent) {
-        close({ kind: "unknown", reason: "mismatched-response" });
+        close(mismatched);
       } else skip();
       return;
     }
-    const { outcome, keepAliveMs } = response;
+    const { outcome, identified, keepAliveMs } = response;
+    // Only the first response on a connection can't belong to another request.
+    if (!identified && (requests > 1 || skipped > 0)) {
+      close(mismatched);
+      return;
+    }
+    if (isFailure(outcome)) failedRequests.add(exchange.request.id);
+    reusable &&= failedRequests.size < MAX_FAILED_REQUESTS;
     reusable &&= message.persistent && outcome.kind !== "unknown";
     if (!reusable) {
       close(outcome);
@@ -158,11 +176,13 @@
       exchange = { request, onOutcome };
       wireBytes = 0;
       skipped = 0;
+      requests++;
       const remainingMs = Math.max(0, Math.floor(request.expiresAt - now));
       const head = protocol.formatRequest(request, remainingMs);
       writeMessage(socket, head, request.body);
     },
     close: () => close(lossOutcome()),
+    mayCarry: (id) => !failedRequests.has(id),
   };
   socket.on("connect", () => {
     connected = true;
@@ -190,3 +210,8 @@
   socket.on("close", () => close(lossOutcome()));
   return connection;
 }
+
+/** Whether the request may be sent to the server once more. */
+function isFailure(outcome: CallOutcome): boolean {
+  return outcome.kind !== "answered" || outcome.status >= SERVER_ERROR;
+}
--- a/src/backend/server_connection.ts
+++ b/src/backend/server_connection.ts
@@ -9,6 +9,11 @@
     onOutcome: (outcome: CallOutcome) => void,
   ): void;
   close(): void;
+  /**
+   * Whether it may carry a request of this id. It may not if an earlier attempt
+   * failed on it: the server may repeat the response to that.
+   */
+  mayCarry(id: string): boolean;
   /** Monotonic time at which the connection last became idle, in ms. */
   idleSince: number;
   /** How long the server keeps an idle connection open, in ms. */
--- a/src/backend/server_connection_test.ts
+++ b/src/backend/server_connection_test.ts
@@ -18,6 +18,7 @@
       outcome: startLine.startsWith("HTTP/1.1 ")
         ? { kind: "answered", status: 200, fields, body }
         : { kind: "unknown", reason: "malformed-response" },
+      identified: true,
       keepAliveMs: null,
     };
   },
--- a/src/backend/server_response.ts
+++ b/src/backend/server_response.ts
@@ -7,6 +7,11 @@
   | {
     kind: "outcome";
     outcome: CallOutcome;
+    /**
+     * Whether the response names the request. One that doesn't may answer an
+     * earlier request of its connection.
+     */
+    identified: boolean;
     /**
      * How long the server keeps an idle connection open, in ms; null if not
      * stated.
--- a/src/calls/call_outcome.ts
+++ b/src/calls/call_outcome.ts
@@ -34,11 +34,13 @@
 
 type UnknownReason =
   | "connection-lost"
+  | "malformed-message"
   | "malformed-response"
   | "mismatched-response"
   | "truncated-response"
   | "oversized-response"
   | "no-room"
   | "unsigned-response"
+  | "unconfirmed-refusal"
   | "link-lost"
   | "expired";
--- a/src/mesh/accept_link.ts
+++ b/src/mesh/accept_link.ts
@@ -4,11 +4,14 @@
 import type { CallRequest } from "../calls/call_request.ts";
 import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { createLink } from "./create_link.ts";
-import { DaemonEntry } from "./daemon_entry.ts";
+import type { DaemonEntry } from "./daemon_entry.ts";
+import type { InvalidMessage } from "./invalid_message.ts";
 import type { Link } from "./link.ts";
 import { readCallHead } from "./read_call_head.ts";
 import type { Message } from "./message.ts";
+import { reportInvalidMessage } from "./report_invalid_message.ts";
 import type { ReportState } from "./report_state.ts";
 
 /** A link that another daemon opened to this one. */
@@ -31,6 +34,7 @@
 type Handlers = {
   steadyTime: () => number;
   log: Logger;
+  metrics: Metrics;
   /** Memory budget for the bodies of all links. */
   budget: ByteBudget;
   /** Returns this daemon's entry. */
@@ -65,6 +69,7 @@
         link.send(["not-run", stream, "no-room", 0, false, reportState.load]);
       },
       onMessage: (message) => receive(accepted, message, handlers),
+      onInvalid: (message) => receiveInvalid(accepted, message, handlers),
       onClose({ reason }) {
         const cancelFunctions = [...accepted.cancelFunctions.values()];
         accepted.cancelFunctions.clear();
@@ -88,12 +93,35 @@
   }
   const handle = MESSAGE_HANDLERS[message[0]];
   if (handle === undefined) {
-    handlers.log("peer-message-ignored", { kind: String(message[0]) });
+    handlers.log("peer-message-ignored", {
+      peer: accepted.entry?.name,
+      kind: message[0],
+    });
     return;
   }
   handle(accepted, message as never, handlers);
 }
 
+function receiveInvalid(
+  accepted: AcceptedLink,
+  message: InvalidMessage,
+  handlers: Handlers,
+): void {
+  const { entry, link, rejectedStreams, reportState } = accepted;
+  const { kind, stream } = message;
+  reportInvalidMessage(message, entry?.name, handlers);
+  if (entry === null) {
+    link.reject(
+      kind === "hello" ? "invalid entry in hello" : "message before hello",
+    );
+    return;
+  }
+  if (kind !== "request" || stream === null) return;
+  rejectedStreams.delete(stream);
+  link.dropBody(stream);
+  link.send(["unknown", stream, "malformed-message", reportState.load]);
+}
+
 type MessageHandler<Kind extends Message[0]> = (
   accepted: AcceptedLink,
   message: Extract<Message, { 0: Kind }>,
@@ -101,16 +129,11 @@
 ) => void;
 
 const MESSAGE_HANDLERS: { [Kind in Message[0]]?: MessageHandler<Kind> } = {
-  hello(accepted, [, input], { entry, onHello }) {
-    const parsed = DaemonEntry.safeParse(input);
-    if (!parsed.success) {
-      accepted.link.reject("invalid entry in hello");
-      return;
-    }
-    accepted.entry = parsed.data;
-    accepted.link.completeHandshake(parsed.data);
+  hello(accepted, [, peerEntry], { entry, onHello }) {
+    accepted.entry = peerEntry;
+    accepted.link.completeHandshake(peerEntry);
     accepted.link.send(["entry", entry()]);
-    onHello(accepted, parsed.data);
+    onHello(accepted, peerEntry);
   },
   config: (_accepted, [, version, bytes], { onConfig }) =>
     onConfig(version, bytes),
--- a/src/mesh/create_link.ts
+++ b/src/mesh/create_link.ts
@@ -7,10 +7,12 @@
 import { createByteQueue } from "./create_byte_queue.ts";
 import { createFrameReader } from "./create_frame_reader.ts";
 import type { Link } from "./link.ts";
+import type { InvalidMessage } from "./invalid_message.ts";
 import type { DisconnectCause } from "./disconnect_cause.ts";
 import { classifySocketError } from "./classify_socket_error.ts";
 import type { Message } from "./message.ts";
 import { messageCodec } from "./message_codec.ts";
+import { readMessage } from "./read_message.ts";
 
 // Largest body that a daemon accepts.
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
@@ -36,11 +38,23 @@
 // Incomplete incoming bodies; allows for a peer with a higher send limit.
 const MAX_BODIES_RECEIVED = 4 * MAX_BODIES_SENT;
 const LENGTH_BYTES = 4;
+const FLOW_CONTROL_KINDS: ReadonlySet<string> = new Set([
+  "piece",
+  "piece-read",
+]);
 
 /** Exchanges messages over a socket; `onClose` is called once. */
 export function createLink(
   socket: Socket,
-  { steadyTime, budget, expectsBody, onBodyRejected, onMessage, onClose }: {
+  {
+    steadyTime,
+    budget,
+    expectsBody,
+    onBodyRejected,
+    onMessage,
+    onInvalid,
+    onClose,
+  }: {
     steadyTime: () => number;
     /** Memory budget for the bodies of all links. */
     budget: ByteBudget;
@@ -49,6 +63,8 @@
     /** A body exceeded the memory budget; its pieces have been discarded. */
     onBodyRejected: (stream: number) => void;
     onMessage: (message: Message) => void;
+    /** A message was left out because it is invalid. */
+    onInvalid: (message: InvalidMessage) => void;
     onClose: (cause: DisconnectCause) => void;
   },
 ): Link {
@@ -94,11 +110,16 @@
   };
   const read = createFrameReader(() => maxFrameBytes, (frame) => {
     if (closed) return;
-    const message = unpack(frame);
-    if (message === null) reject("malformed message");
-    else if (message[0] === "piece" && usesPieces) receivePiece(message);
-    else if (message[0] === "piece-read") acknowledge(message);
-    else onMessage(message);
+    const elements = unpack(frame);
+    if (elements === null) {
+      reject("malformed message");
+      return;
+    }
+    const message = readMessage(elements);
+    if (message.ok) receive(message.value);
+    // Flow control can't continue without the missing count.
+    else if (FLOW_CONTROL_KINDS.has(message.kind)) reject("malformed message");
+    else onInvalid(message);
   }, (bytes) => {
     // Partial frames of pieces and smaller messages are not counted: they are
     // completed within a few reads.
@@ -106,10 +127,15 @@
     close({ kind: "given-up", reason: "memory budget exhausted" });
     return false;
   });
+  const receive = (message: Message) => {
+    if (message[0] === "piece" && usesPieces) receivePiece(message);
+    else if (message[0] === "piece-read") acknowledge(message);
+    else onMessage(message);
+  };
   const receivePiece = (
     [, stream, total, piece]: Extract<Message, { 0: "piece" }>,
   ) => {
-    const bytes = piece instanceof Uint8Array ? piece.length : 0;
+    const bytes = piece.length;
     const isExpected = expectsBody(stream);
     if (bytes === 0 || isExpected && !assembler.add(stream, total, piece)) {
       reject("malformed body");
@@ -121,10 +147,6 @@
     onBodyRejected(stream);
   };
   const acknowledge = ([, bytes]: Extract<Message, { 0: "piece-read" }>) => {
-    if (!Number.isInteger(bytes)) {
-      reject("malformed message");
-      return;
-    }
     sendQueue.acknowledge(bytes);
     windowBlockedSince = null;
     scheduleFlush();
@@ -251,11 +273,11 @@
   return link;
 }
 
-/** Decodes a frame; returns null if it isn't a message. */
-function unpack(frame: Buffer): Message | null {
+/** Decodes a frame; returns null if it isn't a list of elements. */
+function unpack(frame: Buffer): unknown[] | null {
   try {
-    const message = messageCodec.unpack(frame);
-    return Array.isArray(message) ? message as Message : null;
+    const elements: unknown = messageCodec.unpack(frame);
+    return Array.isArray(elements) ? elements : null;
   } catch {
     return null;
   }
--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -135,6 +135,7 @@
     accepted.add(acceptLink(socket, {
       steadyTime,
       log,
+      metrics,
       budget,
       entry: ownEntry,
       serve,
--- a/src/mesh/daemon_entry.ts
+++ b/src/mesh/daemon_entry.ts
@@ -1,4 +1,7 @@
 import { z } from "zod";
+import { Address } from "../core/address.ts";
+
+const MAX_SLOTS = 100_000;
 
 /**
  * What a daemon tells its peers about itself and its backend server. Fields
@@ -7,12 +10,12 @@
 export const DaemonEntry = z.object({
   name: z.string().min(1),
   /** `IP:PORT` at which the daemon listens for other daemons. */
-  address: z.string().min(1),
+  address: Address,
   dataCentre: z.string(),
   service: z.string(),
   server: z.object({
     id: z.string(),
-    slots: z.number().int().min(1),
+    slots: z.number().int().min(1).max(MAX_SLOTS),
     /** Accepts no new requests: the server or its daemon is leaving. */
     leaving: z.boolean(),
     /** The server itself announced that it leaves; it never returns. */
--- a/src/mesh/mesh_test_fixture.ts
+++ b/src/mesh/mesh_test_fixture.ts
@@ -129,6 +129,9 @@
     return { ...started, peer };
   },
 
+  /** Sends a message, valid or not, over a raw connection. */
+  send: (socket: Socket, message: unknown) => write(socket, message),
+
   /** Opens a raw connection and collects the messages received on it. */
   async connect(host: string) {
     const socket = connect(PORT, host);
@@ -152,7 +155,7 @@
 const TICK_MS = 100;
 const LENGTH_BYTES = 4;
 
-function write(socket: Socket, message: Message): void {
+function write(socket: Socket, message: unknown): void {
   const payload = messageCodec.pack(message);
   const length = Buffer.alloc(LENGTH_BYTES);
   length.writeUInt32BE(payload.length);
--- a/src/mesh/message.ts
+++ b/src/mesh/message.ts
@@ -1,67 +1,90 @@
-import type { RouteReport } from "../calls/route_report.ts";
-import type { CallHead } from "./call_head.ts";
-import type { DaemonEntry } from "./daemon_entry.ts";
+import { z } from "zod";
+import { RouteReport } from "../calls/route_report.ts";
+import { CallHead } from "./call_head.ts";
+import { DaemonEntry } from "./daemon_entry.ts";
+import { FieldList } from "./field_list.ts";
+
+const Count = z.number().int().min(0);
+const Version = Count;
+/** Number of a call, assigned by the side that opened the link. */
+const Stream = Count;
+const Bytes = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
+const Load = z.number().min(0);
+/** The total length of a body whose earlier pieces were sent before. */
+const Total = Count.optional();
 
 /**
- * Messages between daemons: tuples whose first element is the kind. Each call
- * has a stream number, assigned by the side that opened the link. Deadlines
- * are sent as the remaining ms, since the clocks of two daemons can't be
- * compared.
+ * Messages between daemons, by kind: tuples whose first element is the kind.
+ * Deadlines are sent as the remaining ms, since the clocks of two daemons can't
+ * be compared. Later versions may append elements, which are ignored.
  */
-export type Message =
+export const Message = {
   /** First message of the side that opened the link. */
-  | ["hello", DaemonEntry]
+  hello: tuple("hello", DaemonEntry),
   /** First message of the accepting side; sent again when its entry changes. */
-  | ["entry", DaemonEntry]
+  entry: tuple("entry", DaemonEntry),
   /**
    * Id and start time of the recipient's backend server, which announced its
    * departure before the recipient's process was restarted.
    */
-  | ["departed", string, number]
-  /** Addresses of known daemons, sent to a daemon that knows no other. */
-  | ["peers", string[]]
+  departed: tuple("departed", z.string(), Count),
+  /**
+   * Addresses of known daemons, sent to a daemon that knows no other. Each is
+   * checked separately, so that an invalid one doesn't hide the others.
+   */
+  peers: tuple("peers", z.array(z.unknown())),
   /** Version and bytes of a configuration, as the operator wrote it. */
-  | ["config", number, Uint8Array]
+  config: tuple("config", Version, Bytes),
   /** Requests the configuration if it is newer than this version. */
-  | ["config-wanted", number]
+  "config-wanted": tuple("config-wanted", Version),
   /** Newest configuration version in the store, sent by a store watcher. */
-  | ["config-current", number]
-  | ["ping"]
-  | ["pong"]
+  "config-current": tuple("config-current", Version),
+  ping: tuple("ping"),
+  pong: tuple("pong"),
   /** Load and mean run time in ms of the accepting side's backend server. */
-  | ["load", number, number]
+  load: tuple("load", Load, z.number().min(0)),
   /** Stream, total length of its body, the next bytes of the body. */
-  | ["piece", number, number, Uint8Array]
+  piece: tuple("piece", Stream, Count, Bytes),
   /** Flow control: number of piece bytes read since the last such message. */
-  | ["piece-read", number]
+  "piece-read": tuple("piece-read", Count),
   /**
    * Stream, head, remaining ms, body. If the body was sent in pieces: its last
    * piece and its total length.
    */
-  | [
-    "request",
-    number,
-    CallHead,
-    number,
-    Uint8Array,
-    number?,
-  ]
-  | ["cancel", number]
+  request: tuple("request", Stream, CallHead, Count, Bytes, Total),
+  cancel: tuple("cancel", Stream),
   /**
    * Stream, status, fields, body, load, route report. If the body was sent in
-   * pieces: its last piece, and its total length at the end.
+   * pieces: its last piece, and its total length at the end. An invalid report,
+   * such as one of another version, is read as null.
    */
-  | [
+  answered: tuple(
     "answered",
-    number,
-    number,
-    string[],
-    Uint8Array,
-    number,
-    RouteReport | null,
-    number?,
-  ]
+    Stream,
+    z.number().int().min(100).max(599),
+    FieldList,
+    Bytes,
+    Load,
+    RouteReport.nullable().catch(null),
+    Total,
+  ),
   /** Stream, reason, ms until capacity is expected, arrived, load. */
-  | ["not-run", number, string, number, boolean, number]
+  "not-run": tuple(
+    "not-run",
+    Stream,
+    z.string(),
+    z.number().min(0),
+    z.boolean(),
+    Load,
+  ),
   /** Stream, reason, load. */
-  | ["unknown", number, string, number];
+  unknown: tuple("unknown", Stream, z.string(), Load),
+};
+export type Message = z.output<typeof Message[keyof typeof Message]>;
+
+function tuple<
+  Kind extends string,
+  Elements extends readonly z.core.SomeType[],
+>(kind: Kind, ...elements: Elements) {
+  return z.tuple([z.literal(kind), ...elements], z.unknown());
+}
--- a/src/mesh/open_peer_link.ts
+++ b/src/mesh/open_peer_link.ts
@@ -1,13 +1,15 @@
 import type { CallOutcome } from "../calls/call_outcome.ts";
-import { RouteReport } from "../calls/route_report.ts";
+import type { RouteReport } from "../calls/route_report.ts";
 import { connectWithSharedBuffer } from "../core/connect_with_shared_buffer.ts";
+import { Address } from "../core/address.ts";
 import type { ByteBudget } from "../core/byte_budget.ts";
 import type { Logger } from "../core/logger.ts";
 import { count } from "../metrics/count.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import { createLink } from "./create_link.ts";
-import { DaemonEntry } from "./daemon_entry.ts";
+import type { DaemonEntry } from "./daemon_entry.ts";
 import type { Message } from "./message.ts";
+import { reportInvalidMessage } from "./report_invalid_message.ts";
 import type { Peer } from "./peer.ts";
 
 // Connecting to another data centre takes a few ms. A lost SYN is retransmitted
@@ -15,6 +17,14 @@
 const CONNECT_TIMEOUT_MS = 1_200;
 const RETRY_MS = 500;
 const NO_BODY = Buffer.alloc(0);
+const MAX_LOGGED_LENGTH = 64;
+const OUTCOME_KINDS: ReadonlySet<string> = new Set(
+  [
+    "answered",
+    "not-run",
+    "unknown",
+  ] satisfies Message[0][],
+);
 
 type Handlers = {
   steadyTime: () => number;
@@ -59,6 +69,14 @@
       settle(peer, stream, peer.load, outcome, null);
     },
     onMessage: (message) => receive(peer, message, handlers),
+    onInvalid(message) {
+      reportInvalidMessage(message, peer.address, handlers);
+      const { kind, stream } = message;
+      if (stream === null || !OUTCOME_KINDS.has(kind)) return;
+      link.dropBody(stream);
+      const outcome = { kind: "unknown", reason: "malformed-message" } as const;
+      settle(peer, stream, peer.load, outcome, null);
+    },
     onClose({ kind, reason }) {
       clearTimeout(connectTimer);
       const now = steadyTime();
@@ -104,7 +122,7 @@
   if (handle === undefined) {
     handlers.log("peer-message-ignored", {
       peer: peer.address,
-      kind: String(message[0]),
+      kind: message[0],
     });
     return;
   }
@@ -118,25 +136,37 @@
 ) => void;
 
 const MESSAGE_HANDLERS: { [Kind in Message[0]]?: MessageHandler<Kind> } = {
-  entry(peer, [, input], { log, onEntry }) {
-    const parsed = DaemonEntry.safeParse(input);
-    if (!parsed.success) {
-      log("peer-entry-unreadable", { peer: peer.address });
-      return;
-    }
+  entry(peer, [, entry], { log, onEntry }) {
     const first = peer.entry === null;
-    peer.entry = parsed.data;
-    peer.link!.completeHandshake(parsed.data);
-    recordDeparture(peer, parsed.data.server);
+    peer.entry = entry;
+    peer.link!.completeHandshake(entry);
+    recordDeparture(peer, entry.server);
     if (first) {
-      log("peer-found", { peer: parsed.data.name, address: peer.address });
+      log("peer-found", { peer: entry.name, address: peer.address });
       peer.downSince = null;
     }
     onEntry(peer);
   },
   departed: (_peer, [, id, startedAt], { onDeparted }) =>
     onDeparted({ id, startedAt }),
-  peers: (_peer, [, addresses], { onPeers }) => onPeers(addresses),
+  peers(peer, [, addresses], { log, metrics, onPeers }) {
+    const valid: Address[] = [];
+    for (const input of addresses) {
+      const parsed = Address.safeParse(input);
+      if (parsed.success) {
+        valid.push(parsed.data);
+        continue;
+      }
+      count(metrics, "peer_addresses_invalid", {});
+      log("peer-address-invalid", {
+        peer: peer.address,
+        address: typeof input === "string"
+          ? input.slice(0, MAX_LOGGED_LENGTH)
+          : typeof input,
+      });
+    }
+    onPeers(valid);
+  },
   config: (_peer, [, version, bytes], { onConfig }) => onConfig(version, bytes),
   "config-current": (peer, [, version], { onConfigCurrent }) =>
     onConfigCurrent(peer, version),
@@ -161,7 +191,7 @@
       status,
       fields,
       body: body ?? NO_BODY,
-    }, readRoute(route));
+    }, route);
   },
   "not-run"(peer, [, stream, reason, waitMs, arrived, load]) {
     settle(peer, stream, load, {
@@ -204,10 +234,3 @@
   if (peer.link!.cancelBody(stream)) peer.link!.send(["cancel", stream]);
   call.onOutcome(outcome, { load, route });
 }
-
-/** Returns null for an invalid report, such as one of another version. */
-function readRoute(input: unknown): RouteReport | null {
-  if (input === null) return null;
-  const parsed = RouteReport.safeParse(input);
-  return parsed.success ? parsed.data : null;
-}
--- a/src/mesh/read_call_head.ts
+++ b/src/mesh/read_call_head.ts
@@ -1,5 +1,6 @@
 import { FRACTION_SCALE } from "./fraction_scale.ts";
-import type { CallHead, DecodedCallHead } from "./call_head.ts";
+import type { CallHead } from "./call_head.ts";
+import type { DecodedCallHead } from "./decoded_call_head.ts";
 
 /** Decodes the head of a call. */
 export function readCallHead(head: CallHead): DecodedCallHead {
--- a/src/sidecar/counters.ts
+++ b/src/sidecar/counters.ts
@@ -33,6 +33,7 @@
   "mismatched-response",
   "truncated-response",
   "unsigned-response",
+  "unconfirmed-refusal",
   "oversized-response",
   "no-room",
   "cancelled",
@@ -106,6 +107,18 @@
     help: "Calls to other daemons that were under way on a lost link.",
     series: [{}],
   },
+  peer_messages_invalid: {
+    help: "Messages of other daemons that were left out as invalid.",
+    series: [],
+  },
+  peer_addresses_invalid: {
+    help: "Addresses of daemons, told by others, that can't be connected to.",
+    series: [{}],
+  },
+  rows_invalid: {
+    help: "Rows of the platform's store that were left out as invalid.",
+    series: [{}],
+  },
   store_calls: {
     help: "Calls to the store of the platform.",
     series: operationLabels,
--- a/src/sidecar/join_fleet.ts
+++ b/src/sidecar/join_fleet.ts
@@ -1,6 +1,9 @@
 import type { z } from "zod";
+import type { Issue } from "../core/issue.ts";
 import type { Logger } from "../core/logger.ts";
 import { parseJson } from "../core/parse_json.ts";
+import { count } from "../metrics/count.ts";
+import type { Metrics } from "../metrics/metrics.ts";
 import { DaemonRow } from "./daemon_row.ts";
 import { delay } from "./delay.ts";
 import { DepartureRow } from "./departure_row.ts";
@@ -23,11 +26,12 @@
  * the store answers.
  */
 export async function joinFleet(
-  { store, name, row, log, onDaemon, onDeparture }: {
+  { store, name, row, log, metrics, onDaemon, onDeparture }: {
     store: RowStore;
     name: string;
     row: DaemonRow;
     log: Logger;
+    metrics: Metrics;
     onDaemon: (row: DaemonRow) => void;
     /** The local backend server had left before this daemon started. */
     onDeparture: (row: DepartureRow) => void;
@@ -38,13 +42,17 @@
       const value = Buffer.from(JSON.stringify(row));
       await store.put(TABLE, `${DAEMON_PREFIX}${name}`, value);
       const { rows } = await store.list(TABLE);
+      const reportInvalid = (key: string, { path, message }: Issue) => {
+        count(metrics, "rows_invalid", {});
+        log("row-invalid", { key, at: path.join("."), message });
+      };
       for (const { key, value } of rows) {
         if (key === FleetRows.departureKey(name)) {
-          passRow(DepartureRow, key, value, onDeparture, log);
+          passRow(DepartureRow, key, value, onDeparture, reportInvalid);
         } else if (
           key.startsWith(DAEMON_PREFIX) && key !== `${DAEMON_PREFIX}${name}`
         ) {
-          passRow(DaemonRow, key, value, onDaemon, log);
+          passRow(DaemonRow, key, value, onDaemon, reportInvalid);
         }
       }
       log("fleet-joined", { rows: rows.length, failures });
@@ -56,15 +64,15 @@
   }
 }
 
-/** Passes on a decoded row; one that can't be decoded is logged and skipped. */
+/** Passes on a decoded row; one that can't be decoded is left out. */
 function passRow<Schema extends z.ZodType>(
   schema: Schema,
   key: string,
   value: Buffer,
   onRow: (row: z.infer<Schema>) => void,
-  log: Logger,
+  onInvalid: (key: string, issue: Issue) => void,
 ): void {
   const parsed = parseJson(schema, value);
   if (parsed.ok) onRow(parsed.value);
-  else log("row-unreadable", { key, message: parsed.issues[0]!.message });
+  else onInvalid(key, parsed.issues[0]!);
 }
--- a/src/sidecar/sidecar_settings.ts
+++ b/src/sidecar/sidecar_settings.ts
@@ -1,6 +1,5 @@
 import { z } from "zod";
-
-const Address = z.string().regex(/^[\d.]+:\d+$/);
+import { Address } from "../core/address.ts";
 
 /** Settings of a sidecar daemon. */
 export const SidecarSettings = z.object({
--- a/src/sidecar/start_sidecar.ts
+++ b/src/sidecar/start_sidecar.ts
@@ -264,6 +264,7 @@
     name,
     row: { address: settings.meshAddress },
     log,
+    metrics,
     onDaemon: ({ address }) => mesh.addPeer(address),
     onDeparture: (departure) => backend.restoreDeparture(departure),
   });
