Read interim responses and refusals without attempt as what they are

Cause: undici reports 1xx responses like final ones, so the product's own daemon took a 102 for the start of the response; a connection that ended after it, or in the head that followed, had begun a response already. A refusal that didn't name its attempt was believed on kept connections.

Change: dispatch() passes on final responses only. A refusal counts with the attempt of the request alone. A daemon knows at most 1,500 others.

--- a/src/mesh/create_mesh.ts
+++ b/src/mesh/create_mesh.ts
@@ -33,6 +33,9 @@
 const PROCESS_PAUSE_MS = 1_000;
 // A daemon that can't be reached for this long is taken to have been replaced.
 const PEER_EXPIRY_MS = 60_000;
+// A peer takes two descriptors, one for each direction, and daemons may open
+// 4,096 files on the smallest VMs.
+const MAX_PEERS = 1_500;
 
 type AcceptedLink = ReturnType<typeof acceptLink>;
 type Serve = Parameters<typeof acceptLink>[1]["serve"];
@@ -124,6 +127,10 @@
     });
   const addPeer = (address: string) => {
     if (address === ownEntry().address || peers.has(address)) return;
+    if (peers.size >= MAX_PEERS) {
+      log("peer-limit-reached", { address, peers: peers.size });
+      return;
+    }
     const peer = createPeer(address);
     peers.set(address, peer);
     connect(peer);
--- a/src/mesh/odd_input_test.ts
+++ b/src/mesh/odd_input_test.ts
@@ -57,6 +57,19 @@
   t.true(lines.some(({ event }) => event === "peer-address-invalid"));
 });
 
+test("a huge list of addresses doesn't use up the descriptors", async (t) => {
+  const { mesh, peer, lines, sendOdd } = await linkToListener();
+  const many = Array.from(
+    { length: 5_000 },
+    (_, at) => `127.250.${at >> 8}.${at & 255}:1`,
+  );
+  sendOdd(["peers", many]);
+  sendOdd(["load", 0.5, 7]);
+  await until("load read", () => peer.load === 0.5);
+  t.is(mesh.peers.size, 1_500);
+  t.true(lines.some(({ event }) => event === "peer-limit-reached"));
+});
+
 test("an odd entry is left out until a sound one follows", async (t) => {
   const { peer, sendOdd } = await linkToListener();
   const known = peer.entry!;
--- a/src/relay/call_server.ts
+++ b/src/relay/call_server.ts
@@ -1,13 +1,12 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { Header } from "../context/header.ts";
 import { claimToken } from "../execution/claim_token.ts";
 import type { Outcome } from "../outcomes/outcome.ts";
+import { checkResponse } from "./check_response.ts";
 import { dispatch } from "./dispatch.ts";
 import { endInboundCall } from "./end_inbound_call.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import type { InboundCall } from "./inbound_call.ts";
 import { inboundFeedback } from "./inbound_feedback.ts";
-import { isDelimited } from "./is_delimited.ts";
 import { recordChunk } from "./record_chunk.ts";
 import type { Relay } from "./relay.ts";
 import { serverHeaders } from "./server_headers.ts";
@@ -65,7 +64,12 @@
   status: number,
   headers: IncomingHttpHeaders,
 ): void {
-  const failure = checkResponse(relay, call, status, headers);
+  const failure = checkResponse({ status, headers }, {
+    method: call.attempt.method,
+    attemptId: call.attempt.context.attemptId,
+    sheds: relay.server?.sheds === true,
+    echoes: relay.server?.echoes === true,
+  });
   if (failure !== null) {
     call.exchange?.cancel();
     return failCall(relay, call, failure);
@@ -85,30 +89,6 @@
   call.reply?.start({ status, headers: forwarded, feedback });
 }
 
-function checkResponse(
-  relay: Relay,
-  call: InboundCall,
-  status: number,
-  headers: IncomingHttpHeaders,
-): Outcome | null {
-  const { context, method } = call.attempt;
-  const echoedAttemptId = headers[Header.attempt];
-  const mustEcho = relay.server?.echoes === true;
-  if (
-    echoedAttemptId !== context.attemptId &&
-    (mustEcho || echoedAttemptId !== undefined)
-  ) {
-    return { kind: "unknown", reason: "mismatched-response" };
-  }
-  const shed = relay.server?.sheds === true &&
-    headers[Header.outcome] === "not-run";
-  if (shed) return { kind: "not-run", reason: "server-shed" };
-  if (!isDelimited({ method, status, headers })) {
-    return { kind: "unknown", reason: "malformed-response" };
-  }
-  return null;
-}
-
 function passChunk(call: InboundCall, chunk: Buffer): boolean {
   if (call.recording !== null) recordChunk(call.recording, chunk);
   return call.reply?.data(chunk) ?? true;
--- a/src/relay/dispatch.ts
+++ b/src/relay/dispatch.ts
@@ -2,6 +2,9 @@
 import type { Dispatcher, Pool } from "undici";
 import type { Exchange } from "./exchange.ts";
 
+// Lower ones are interim responses, which precede the response itself.
+const FINAL_STATUS = 200;
+
 /** One HTTP request to send. */
 type OutgoingRequest = {
   method: string;
@@ -52,7 +55,7 @@
         abort();
       },
       onResponseStart(_controller, status, headers) {
-        if (!done) handlers.start(status, headers);
+        if (!done && status >= FINAL_STATUS) handlers.start(status, headers);
       },
       onResponseData(_controller, chunk) {
         if (!done && !handlers.data(chunk)) controller?.pause();
