Time the test of a busy link by what its peer reads

Both sides run in the process of the test. On a busy machine its reader got to run each 50 ms instead of each 5, so the body made no progress for 0.4 s at times, and the link was rightly suspected; nothing was closed.

Change: the virtual clock advances with each read. The assertions stay, and one more says that enough time passed for a ping to be missed.

--- a/src/mesh/unread_link_test.ts
+++ b/src/mesh/unread_link_test.ts
@@ -15,6 +15,9 @@
 // buffers of both sides hold.
 const MAX_PENDING_MB = 16 + 1 + 15;
 const BODIES = 100;
+// A peer that reads 64 KiB each 5 ms.
+const READ_INTERVAL_MS = 5;
+const TICK_INTERVAL_MS = 100;
 const REPORT = { load: 0, route: null };
 
 /** Starts a mesh that is linked to a raw listener. */
@@ -173,20 +176,27 @@
 });
 
 // The ping is queued behind the body, so its answer is late; progress of the
-// body counts as activity instead.
+// body counts as activity instead. Time passes with each read, so that it isn't
+// the speed of the machine that is tested.
 test("a link that is busy with a large body does not time out", async (t) => {
-  const { mesh, peer, socket } = await linkToListener({
-    steadyTime: () => performance.now(),
-  });
-  let bytesRead = 0;
+  const { mesh, peer, socket, clock } = await linkToListener();
   socket.pause();
-  const reading = setInterval(() => bytesRead += socket.read()?.length ?? 0, 5);
-  const ticking = setInterval(() => mesh.tick(), 100);
   let failed = false;
   mesh.call(peer, request(30 * MB), () => failed = true, () => failed = true);
-  await until("body read", () => failed || bytesRead > 30 * MB);
-  clearInterval(reading);
-  clearInterval(ticking);
+  let bytesRead = 0;
+  let tickedAt = clock.now;
+  while (!failed && bytesRead <= 30 * MB) {
+    await new Promise((resolve) => setImmediate(resolve));
+    const bytes = socket.read()?.length ?? 0;
+    if (bytes === 0) continue;
+    bytesRead += bytes;
+    clock.now += READ_INTERVAL_MS;
+    if (clock.now - tickedAt < TICK_INTERVAL_MS) continue;
+    tickedAt = clock.now;
+    mesh.tick();
+  }
   t.false(failed);
   t.not(peer.link, null);
+  // Long enough for a ping to be missed.
+  t.true(clock.now > 2_000, `${clock.now} ms`);
 });
