Write the file of injected faults in one step

Cause: one of three runs of leaving_test at a load of 24 never saw its faults applied. The daemon polls the file, and read it empty while it was written: parsing failed and ended the process (shown with an empty file).

Change: the file is written beside its place and renamed.

--- a/test/set_faults.ts
+++ b/test/set_faults.ts
@@ -1,4 +1,4 @@
-import { readFileSync, writeFileSync } from "node:fs";
+import { readFileSync, renameSync, writeFileSync } from "node:fs";
 import type { Member } from "../fleet/member.ts";
 import { until } from "./until.ts";
 
@@ -9,7 +9,9 @@
 ): Promise<void> {
   const file = `${daemon.args.at(-1)}.faults`;
   const text = JSON.stringify(faults);
-  writeFileSync(file, text);
+  // Renamed when complete: the daemon reads the file at any moment.
+  writeFileSync(`${file}.new`, text);
+  renameSync(`${file}.new`, file);
   await until(
     `faults of ${daemon.name}`,
     () => readFileSync(`${file}.seen`, "utf8") === text,
