Probe only attempts that have a connection

Cause: the time without progress of an attempt at another daemon began when it was queued for a connection. Where all 64 connections to a daemon were in use for a second, that daemon was probed, didn't know the attempts that waited, and they were ended as connection-lost, although never sent.

Ruled out: that the daemon forgets attempts that it has read; a probe names those.

Change: an attempt counts as sent, and its time begins, when it gets its connection. One that waits is neither probed nor lost.

--- a/src/relay/remote_attempt.ts
+++ b/src/relay/remote_attempt.ts
@@ -2,6 +2,8 @@
 export type RemoteAttempt = {
   attemptId: string;
   address: string;
+  /** Whether it has a connection; until then it waits for one. */
+  sent: boolean;
   /** When the latest bytes arrived, or the attempt was sent, in ms. */
   progressAt: number;
   /**
--- a/src/relay/send_remote.ts
+++ b/src/relay/send_remote.ts
@@ -40,13 +40,14 @@
   const remote: RemoteAttempt = {
     attemptId: attempt.context.attemptId,
     address,
+    sent: false,
     progressAt: relay.clock(),
     paused: false,
     stallTimeoutMs: INITIAL_STALL_TIMEOUT_MS,
     probing: false,
     lose() {
       exchange.cancel();
-      fail(connectionLossOutcome(true, started), noFeedback);
+      fail(connectionLossOutcome(remote.sent, started), noFeedback);
     },
   };
   relay.remoteAttempts.add(remote);
@@ -56,7 +57,11 @@
     headers: remoteHeaders(relay, attempt),
     body: attempt.body,
   }, {
-    begin: () => true,
+    begin() {
+      remote.sent = true;
+      remote.progressAt = relay.clock();
+      return true;
+    },
     start(status, headers) {
       const peerResponse = readPeerResponse(attempt, headers);
       if (peerResponse.kind === "answered") {
--- a/src/relay/stalled_test.ts
+++ b/src/relay/stalled_test.ts
@@ -7,6 +7,7 @@
   return {
     attemptId: "a.1",
     address: "127.0.0.1:1",
+    sent: true,
     progressAt: 0,
     paused: false,
     stallTimeoutMs: 1_000,
@@ -22,6 +23,11 @@
   t.is(findStalled([remote({})], 1_200).get("127.0.0.1:1")?.length, 1);
 });
 
+// Otherwise the daemon, which doesn't know it, would have it taken for lost.
+test("an attempt that waits for a connection is not stalled", (t) => {
+  t.is(findStalled([remote({ sent: false })], 60_000).size, 0);
+});
+
 test("a running attempt is waited for with twice the time-out", (t) => {
   const running = new Set(["a.1"]);
   const slow = remote({});
