--- a/src/mesh/daemon_entry.ts
+++ b/src/mesh/daemon_entry.ts
@@ -1,7 +1,6 @@
 import { z } from "zod";
 import { Address } from "../core/address.ts";
-
-const MAX_SLOTS = 100_000;
+import { Slots } from "../core/slots.ts";
 
 /**
  * What a daemon tells its peers about itself and its backend server. Fields
@@ -15,7 +14,7 @@
   service: z.string(),
   server: z.object({
     id: z.string(),
-    slots: z.number().int().min(1).max(MAX_SLOTS),
+    slots: Slots,
     /** Accepts no new requests: the server or its daemon is leaving. */
     leaving: z.boolean(),
     /** The server itself announced that it leaves; it never returns. */
--- a/src/sidecar/join_fleet.ts
+++ b/src/sidecar/join_fleet.ts
@@ -37,15 +37,15 @@
     onDeparture: (row: DepartureRow) => void;
   },
 ): Promise<void> {
+  const reportInvalid = (key: string, { path, message }: Issue) => {
+    count(metrics, "rows_invalid", {});
+    log("row-invalid", { key, at: path.join("."), message });
+  };
   for (let failures = 0;; failures++) {
     try {
       const value = Buffer.from(JSON.stringify(row));
       await store.put(TABLE, `${DAEMON_PREFIX}${name}`, value);
       const { rows } = await store.list(TABLE);
-      const reportInvalid = (key: string, { path, message }: Issue) => {
-        count(metrics, "rows_invalid", {});
-        log("row-invalid", { key, at: path.join("."), message });
-      };
       for (const { key, value } of rows) {
         if (key === FleetRows.departureKey(name)) {
           passRow(DepartureRow, key, value, onDeparture, reportInvalid);
