Check frequent messages without allocating

Change: messages of frequent kinds are checked by plain code first, which accepts nothing that their schemas reject; what it doesn't accept goes to the schema, which says what is wrong.

--- a/src/mesh/read_message.ts
+++ b/src/mesh/read_message.ts
@@ -1,4 +1,5 @@
 import type { InvalidMessage } from "./invalid_message.ts";
+import { isFrequentMessage } from "./is_frequent_message.ts";
 import { Message } from "./message.ts";
 
 const MAX_KIND_LENGTH = 32;
@@ -9,6 +10,7 @@
 export function readMessage(
   input: readonly unknown[],
 ): { ok: true; value: Message } | InvalidMessage {
+  if (isFrequentMessage(input)) return { ok: true, value: input as Message };
   const [kind, stream] = input;
   const schema = schemas.get(kind);
   const invalid = {
