Share the cases of cut heads and the report of invalid rows

The heads, their cuts and the server that cuts them stood in the tests of both daemons; the log line and counter of a row that is left out stood at both places that read rows; the range of slots once more in the product's own announcement.

--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
+import { Slots } from "../core/slots.ts";
 
-const MAX_SLOTS = 100_000;
+const MAX_CONNECTIONS = 100_000;
 const MAX_WARMUP_MS = 3_600_000;
 
 /** The heartbeat that a backend server sends to its own daemon periodically. */
@@ -9,9 +10,9 @@
   /** Where the backend server listens, `host:port`. */
   address: z.string().regex(/^[0-9a-f.:[\]]+:\d{1,5}$/),
   /** Requests that it can run concurrently. */
-  slots: z.number().int().min(1).max(MAX_SLOTS),
+  slots: Slots,
   /** Connections that it accepts. */
-  connections: z.number().int().min(1).max(MAX_SLOTS),
+  connections: z.number().int().min(1).max(MAX_CONNECTIONS),
   state: z.enum(["up", "leaving"]),
   /** How long it needs to warm up after its start, in ms. */
   warmupMs: z.number().int().min(0).max(MAX_WARMUP_MS).default(0),
--- a/src/sidecar/join_fleet.ts
+++ b/src/sidecar/join_fleet.ts
@@ -2,11 +2,11 @@
 import type { Issue } from "../core/issue.ts";
 import type { Logger } from "../core/logger.ts";
 import { parseJson } from "../core/parse_json.ts";
-import { count } from "../metrics/count.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import { DaemonRow } from "./daemon_row.ts";
 import { delay } from "./delay.ts";
 import { DepartureRow } from "./departure_row.ts";
+import { reportInvalidRow } from "./report_invalid_row.ts";
 import type { RowStore } from "./row_store.ts";
 
 const TABLE = "nutmegmoor";
@@ -37,10 +37,8 @@
     onDeparture: (row: DepartureRow) => void;
   },
 ): Promise<void> {
-  const reportInvalid = (key: string, { path, message }: Issue) => {
-    count(metrics, "rows_invalid", {});
-    log("row-invalid", { key, at: path.join("."), message });
-  };
+  const reportInvalid = (key: string, issue: Issue) =>
+    reportInvalidRow({ key }, issue, { log, metrics });
   for (let failures = 0;; failures++) {
     try {
       const value = Buffer.from(JSON.stringify(row));
