--- a/review/support-2/app_server.mjs
+++ b/review/support-2/app_server.mjs
@@ -102,7 +102,10 @@
       method: "POST",
       path: `/rpc?call=instances.heartbeat&of=${id}`,
       headers: { "Content-Type": "application/json" },
-    }, (response) => response.resume());
+    }, (response) => {
+      response.resume();
+      record("heartbeat", { server: id, status: response.statusCode, born });
+    });
     outgoing.setTimeout(1_000, () => outgoing.destroy());
     outgoing.on("error", () => {});
     outgoing.end(JSON.stringify({
@@ -123,6 +126,23 @@
     id,
     workMs,
     running: () => running,
+    /** Deregisters without a report of draining; returns the status. */
+    deregister() {
+      clearInterval(timer);
+      return new Promise((resolve) => {
+        const outgoing = send({
+          ...control,
+          method: "POST",
+          path: `/rpc?call=instances.deregister&of=${id}`,
+        }, (response) => {
+          response.resume();
+          record("deregistered", { server: id, status: response.statusCode });
+          resolve(response.statusCode);
+        });
+        outgoing.on("error", () => resolve(0));
+        outgoing.end();
+      });
+    },
     close() {
       clearInterval(timer);
       http.close();
--- a/review/support-2/client.mjs
+++ b/review/support-2/client.mjs
@@ -1,6 +1,8 @@
 import { Agent, request } from "node:http";
 
 const OUTBOUND_PORT = 8304;
+// Of a longer answer only the beginning is kept.
+const MAX_TEXT_LENGTH = 200;
 let count = 0;
 
 /**
@@ -50,12 +52,17 @@
     }, (response) => {
       let text = "";
       response.setEncoding("utf8");
-      response.on("data", (chunk) => text += chunk);
+      response.on("data", (chunk) => {
+        if (text.length < MAX_TEXT_LENGTH) text += chunk;
+      });
       response.on(
         "error",
         ({ code }) => settle(0, "", outgoing.reusedSocket, code),
       );
-      response.on("end", () => settle(response.statusCode, text));
+      response.on(
+        "end",
+        () => settle(response.statusCode, text.slice(0, MAX_TEXT_LENGTH)),
+      );
     });
     const timer = setTimeout(() => {
       outgoing.destroy(Object.assign(new Error(), { code: "DEADLINE" }));
--- a/review/support-2/site.mjs
+++ b/review/support-2/site.mjs
@@ -181,25 +181,32 @@
         },
       }),
     );
-    const app = await startAppServer({
-      id: `i-${at + 1}`,
-      service,
-      zone,
-      host: ip,
-      port: PORTS.app,
-      control: { host: ip, port: PORTS.control },
-      slots,
-      workMs,
-      heartbeatMs: HEARTBEAT_S * MS_PER_S,
-      record,
-      respond,
-    });
+    const startServer = () =>
+      startAppServer({
+        id: `i-${at + 1}`,
+        service,
+        zone,
+        host: ip,
+        port: PORTS.app,
+        control: { host: ip, port: PORTS.control },
+        slots,
+        workMs,
+        heartbeatMs: HEARTBEAT_S * MS_PER_S,
+        record,
+        respond,
+      });
+    const app = await startServer();
     const vm = {
       name,
       ip,
       zone,
       service,
       app,
+      /** Starts the server again, under the id that it had. */
+      async restartServer() {
+        vm.app = await startServer();
+        record("server started", { server: vm.app.id });
+      },
       storeProxy,
       path,
       stopping: false,
